--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Targets for people and for CI; README.md shows the first two.
+BIN := bin
+
+.PHONY: all bench build demo fmt lint model replay test
+
+all: build
+
+build:
+	mkdir -p $(BIN)
+	go build -o $(BIN)/lentilrock .
+	go build -o $(BIN)/platform ./internal/standin/platform
+
+demo: build
+	bash scripts/demo.sh
+
+test:
+	go test ./...
+
+bench: build
+	bash scripts/bench.sh
+
+fmt:
+	gofmt -l -w .
+
+lint:
+	golangci-lint run ./...
+
+model:
+	bash spec/check.sh
+
+replay: build
+	$(BIN)/lentilrock replay internal/core/replayer/testdata/*.trace
--- /dev/null
+++ b/internal/cli/commander/checkcmd.go
@@ -0,0 +1,21 @@
+package commander
+
+import (
+	"fmt"
+
+	"lentilrock.example/internal/settings/checker"
+)
+
+type checkCommand struct {
+	Settings string `arg:"" type:"path" help:"Settings file (INI)."`
+}
+
+// Run reports every fault of a settings file.
+func (c checkCommand) Run(s streams) error {
+	settings, faults := checker.Load(c.Settings)
+	if err := checker.Join(faults); err != nil {
+		return fail(ExitUsage, err)
+	}
+	fmt.Fprintf(s.out, "%s: host %s of %s is fine.\n", c.Settings, settings.Name, settings.DataCentre)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/commander/docmd.go
@@ -0,0 +1,142 @@
+package commander
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"lentilrock.example/internal/node/runner"
+	"lentilrock.example/internal/query/executor"
+	"lentilrock.example/internal/query/tabler"
+)
+
+type doCommand struct {
+	target
+	Statement []string      `arg:"" optional:"" help:"Statement; without one, statements are read from standard input, one a line."`
+	Format    string        `enum:"table,json" default:"table" help:"Format of rows: table or json."`
+	ID        string        `help:"Identifier of the change, to ask again safely after a lost answer."`
+	Watch     time.Duration `help:"Run the statement again and again with this pause."`
+}
+
+// Run runs one statement, or those on standard input.
+func (c doCommand) Run(s streams) error {
+	if len(c.Statement) == 0 {
+		return c.runScript(s)
+	}
+	statement := strings.Join(c.Statement, " ")
+	clock := clockwork.NewRealClock()
+	for {
+		if err := c.runOne(s, statement); err != nil || c.Watch <= 0 {
+			return err
+		}
+		clock.Sleep(c.Watch)
+		fmt.Fprintln(s.out)
+	}
+}
+
+// runScript runs each line of standard input. It goes on after a statement that failed,
+// and returns the first failure.
+func (c doCommand) runScript(s streams) error {
+	prompt := isTerminal(s.in)
+	var first error
+	scanner := bufio.NewScanner(s.in)
+	for {
+		if prompt {
+			fmt.Fprint(s.out, "lentilrock> ")
+		}
+		if !scanner.Scan() {
+			break
+		}
+		line := strings.TrimSpace(scanner.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		if err := c.runOne(s, line); err != nil {
+			fmt.Fprintln(s.err, "lentilrock:", err)
+			if first == nil {
+				first = err
+			}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return errors.Errorf("read statements: %w", err)
+	}
+	if first != nil && !prompt {
+		return fail(statusOf(first), errors.New("some statements failed"))
+	}
+	return nil
+}
+
+func statusOf(err error) int {
+	var exit exitError
+	if errors.As(err, &exit) {
+		return exit.status
+	}
+	return ExitFailed
+}
+
+// isTerminal reports whether a person types the input.
+func isTerminal(in io.Reader) bool {
+	file, ok := in.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := file.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+func (c doCommand) runOne(s streams, statement string) error {
+	reply, err := c.execute(context.Background(), executor.Command{Text: statement, ID: c.ID})
+	if err != nil {
+		return errors.Errorf("run statement: %w", err)
+	}
+	if reply.Error != "" {
+		return fail(ExitUsage, errors.New(reply.Error))
+	}
+	if err := c.print(s, reply); err != nil {
+		return err
+	}
+	return failureOf(reply)
+}
+
+func (c doCommand) print(s streams, reply executor.Reply) error {
+	if c.Format == tabler.FormatJSON {
+		return errors.Wrap(json.NewEncoder(s.out).Encode(reply), "write reply as JSON")
+	}
+	for _, o := range reply.Outcomes {
+		fmt.Fprintf(s.out, "%s: %s", o.ID, o.State)
+		if o.State == runner.OutcomeApplied {
+			fmt.Fprintf(s.out, " at offset %d", o.Offset)
+		}
+		if o.Reason != "" {
+			fmt.Fprintf(s.out, " (%s)", o.Reason)
+		}
+		fmt.Fprintln(s.out)
+	}
+	if len(reply.Table.Columns) == 0 && len(reply.Table.Missing) == 0 {
+		return nil
+	}
+	return errors.Wrap(reply.Table.Print(s.out, tabler.FormatTable), "print rows")
+}
+
+// failureOf returns the error of a reply whose changes were not all applied.
+func failureOf(reply executor.Reply) error {
+	for _, o := range reply.Outcomes {
+		switch o.State {
+		case runner.OutcomeApplied:
+		case runner.OutcomeNotKnownYet:
+			return fail(ExitNotKnown, errors.Newf("change %s: the outcome is not known yet", o.ID))
+		default:
+			return fail(ExitFailed, errors.Newf("change %s was %s: %s", o.ID, o.State, o.Reason))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/commander/requestcmd.go
@@ -0,0 +1,85 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/node/listener"
+)
+
+type requestCommand struct {
+	target
+	Service string        `arg:"" help:"Service to call."`
+	Body    string        `arg:"" optional:"" help:"Body; \"-\" reads standard input."`
+	Key     string        `help:"Idempotency key; needed with --once."`
+	Once    bool          `help:"The request may not be repeated."`
+	Urgent  bool          `help:"The request goes before others."`
+	Timeout time.Duration `default:"10s" help:"How long to wait for the answer."`
+}
+
+// Run sends the request and prints its answer.
+func (c requestCommand) Run(s streams) error {
+	body := []byte(c.Body)
+	if c.Body == "-" {
+		data, err := io.ReadAll(s.in)
+		if err != nil {
+			return errors.Errorf("read body: %w", err)
+		}
+		body = data
+	}
+	request, err := c.request(body)
+	if err != nil {
+		return errors.Errorf("make request: %w", err)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fail(ExitNotKnown, errors.Errorf("reach host %s: %w", c.Host, err))
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return fail(ExitNotKnown, errors.Errorf("read answer: %w", err))
+	}
+	return show(s, answer, text)
+}
+
+func (c requestCommand) request(body []byte) (*http.Request, error) {
+	url := "http://" + c.Host.String() + "/v1/requests/" + c.Service
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(listener.HeaderKey, c.Key)
+	request.Header.Set(listener.HeaderRepeatable, strconv.FormatBool(!c.Once))
+	request.Header.Set(listener.HeaderTimeout, c.Timeout.String())
+	if c.Urgent {
+		request.Header.Set(listener.HeaderPriority, "urgent")
+	}
+	return request, nil
+}
+
+func show(s streams, answer *http.Response, text []byte) error {
+	state := signaller.AnswerState(answer.Header.Get(listener.HeaderState))
+	if state == signaller.AnswerDone {
+		_, err := s.out.Write(append(text, '\n'))
+		return errors.Wrap(err, "write answer")
+	}
+	fmt.Fprintln(os.Stderr, string(bytes.TrimSpace(text)))
+	status := ExitFailed
+	switch {
+	case state == signaller.AnswerNotKnownYet:
+		status = ExitNotKnown
+	case answer.StatusCode == http.StatusBadRequest:
+		status = ExitUsage
+	}
+	return fail(status, errors.Newf("the request ended as %s (%s)", state, answer.Status))
+}
--- /dev/null
+++ b/internal/core/decider/log.go
@@ -0,0 +1,272 @@
+package decider
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"lentilrock.example/internal/cell/applier"
+	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/cell/recorder"
+	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/core/tracker"
+)
+
+const defaultLease = tracker.DefaultLease
+
+// logRead folds the records of an answered read.
+func (d *Decider) logRead(now time.Time, e signaller.LogRead, out *signaller.Outbox) {
+	if e.Stream == recorder.ConfigStream {
+		d.readConfig(e, out)
+		return
+	}
+	d.readOK = true
+	for _, entry := range e.Entries {
+		d.applyLocal(now, entry, out)
+	}
+	if !e.AtTail {
+		return
+	}
+	d.lastRead = e.SentAt
+	for _, c := range d.claimers {
+		c.ObserveRead(now, e.SentAt, d.local.Claim(c.Shard()))
+	}
+	d.syncShards(now, out)
+}
+
+func (d *Decider) readConfig(e signaller.LogRead, out *signaller.Outbox) {
+	for _, entry := range e.Entries {
+		if entry.Unreadable {
+			d.config.Skip(entry.Offset)
+			continue
+		}
+		verdict := d.config.Apply(entry.Offset, entry.Record)
+		d.settle(entry, verdict, out)
+	}
+	if len(e.Entries) > 0 {
+		d.useConfig()
+	}
+}
+
+func (d *Decider) settle(entry signaller.Entry, verdict applier.Verdict, out *signaller.Outbox) {
+	if !d.proposals[entry.Record.ID] {
+		return
+	}
+	delete(d.proposals, entry.Record.ID)
+	out.Add(signaller.Settled{RecordID: entry.Record.ID, Offset: entry.Offset, Verdict: verdict})
+}
+
+func (d *Decider) applyLocal(now time.Time, entry signaller.Entry, out *signaller.Outbox) {
+	if entry.Unreadable {
+		d.local.Skip(entry.Offset)
+		return
+	}
+	if entry.Offset < d.local.Next {
+		return
+	}
+	verdict := d.local.Apply(entry.Offset, entry.Record)
+	d.settle(entry, verdict, out)
+	switch body := entry.Record.Body.(type) {
+	case recorder.Claim:
+		d.claimApplied(body, verdict)
+	case recorder.CloseJobs:
+		for _, id := range body.Jobs {
+			delete(d.closing, id)
+			d.tracker.Close(now, id, out)
+		}
+	case recorder.Intent:
+		delete(d.held, body.Key)
+		d.admitter.IntentRecorded(now, body, verdict.Applied, verdict.Reason, out)
+	case recorder.Outcome:
+		delete(d.held, body.Key)
+		d.admitter.Closed(d.local.Requests[body.Key].Outcome, out)
+	case recorder.Submit:
+		d.submitted(now, body, verdict, out)
+	case recorder.TaskBegun:
+		d.tracker.BeginRecorded(now, body, verdict.Applied, out)
+	case recorder.TasksEnded:
+		d.tasksEnded(now, body, out)
+	}
+}
+
+func (d *Decider) claimApplied(body recorder.Claim, verdict applier.Verdict) {
+	c := d.claimer(body.Shard)
+	if c != nil && body.Holder == d.options.Self && !verdict.Applied {
+		c.ClaimFailed(body.Epoch)
+	}
+}
+
+func (d *Decider) submitted(now time.Time, body recorder.Submit, verdict applier.Verdict, out *signaller.Outbox) {
+	if !verdict.Applied {
+		return
+	}
+	shard := d.options.Layout.ShardOf(string(body.Job.ID))
+	c := d.claimer(shard)
+	if c != nil && c.IsHolder() && d.tracker.IsRead(now, shard) {
+		d.adopt(now, shard, d.local.Jobs[body.Job.ID], out)
+	}
+}
+
+// adopt queues a job, or closes it where no worker could ever run it.
+func (d *Decider) adopt(now time.Time, shard descriptor.ShardID, job *applier.JobRecord, out *signaller.Outbox) {
+	if reason := d.impossible(job.Job); reason != "" {
+		d.closeJob(now, job.Job.ID, recorder.JobRefused, reason, out)
+		return
+	}
+	d.tracker.Adopt(now, shard, job, out)
+	d.closeIfOver(now, job, out)
+}
+
+func (d *Decider) tasksEnded(now time.Time, body recorder.TasksEnded, out *signaller.Outbox) {
+	job, found := d.local.Jobs[body.Job]
+	if !found {
+		return
+	}
+	d.tracker.EndsRecorded(now, job, body.Ended)
+	c := d.claimer(d.options.Layout.ShardOf(string(body.Job)))
+	if c != nil && c.CanAct(now) {
+		d.closeIfOver(now, job, out)
+	}
+}
+
+// closeIfOver closes a job whose tasks are all done, or one of whose tasks failed too
+// often.
+func (d *Decider) closeIfOver(now time.Time, job *applier.JobRecord, out *signaller.Outbox) {
+	if !job.IsOpen() || d.closing[job.Job.ID] {
+		return
+	}
+	for _, index := range sorter.Keys(job.Failures) {
+		if job.Failures[index] > job.Job.MaxRetries {
+			reason := "task " + strconv.Itoa(index) + " failed " + strconv.Itoa(job.Failures[index]) + " times"
+			d.closeJob(now, job.Job.ID, recorder.JobFailed, reason, out)
+			return
+		}
+	}
+	if len(job.Ended) >= job.Job.Tasks && job.IsDone() {
+		d.closeJob(now, job.Job.ID, recorder.JobDone, "", out)
+	}
+}
+
+func (d *Decider) closeJob(now time.Time, id descriptor.JobID, end recorder.JobEnd, reason string, out *signaller.Outbox) {
+	d.closing[id] = true
+	record := recorder.New("close."+string(id)+"."+d.options.Self.String(), now, d.author, recorder.CloseJobs{
+		Jobs: []descriptor.JobID{id}, End: end, Reason: reason,
+	})
+	out.Add(signaller.Append{
+		Stream:  recorder.DataCentreStream(d.options.DataCentre),
+		Records: []recorder.Record{record},
+	})
+}
+
+// recordEnds sends the ends of tasks to the log, one record a job, in one append.
+func (d *Decider) recordEnds(now time.Time, out *signaller.Outbox) {
+	if !d.CanAppend() {
+		return
+	}
+	bodies := d.tracker.TakeEnded()
+	if len(bodies) == 0 {
+		return
+	}
+	records := make([]recorder.Record, 0, len(bodies))
+	for i, body := range bodies {
+		id := "ended." + string(body.Job) + "." + strconv.FormatInt(now.UnixNano(), 36) + "." + strconv.Itoa(i)
+		records = append(records, recorder.New(id, now, d.author, body))
+	}
+	out.Add(signaller.Append{Stream: recorder.DataCentreStream(d.options.DataCentre), Records: records})
+}
+
+// appendFailed takes in that the log refused records for certain.
+func (d *Decider) appendFailed(now time.Time, e signaller.AppendFailed, out *signaller.Outbox) {
+	d.appendBlocked = now.Add(appendPause)
+	for _, record := range e.Records {
+		switch body := record.Body.(type) {
+		case recorder.Claim:
+			if c := d.claimer(body.Shard); c != nil {
+				c.ClaimFailed(body.Epoch)
+			}
+		case recorder.Intent:
+			d.admitter.IntentFailed(body.Key, out)
+		case recorder.TaskBegun:
+			d.tracker.BeginRecorded(now, body, false, out)
+		}
+		if d.proposals[record.ID] {
+			delete(d.proposals, record.ID)
+			out.Add(signaller.Settled{RecordID: record.ID, Failed: true})
+		}
+	}
+}
+
+// tickLog notices that the log came back.
+func (d *Decider) tickLog(now time.Time, out *signaller.Outbox) {
+	isUp := d.CanAppend()
+	if isUp && !d.wasUp {
+		d.admitter.LogBack(now, out)
+	}
+	if isUp != d.wasUp {
+		out.Report("The log's state changed.", "up", strconv.FormatBool(isUp))
+	}
+	d.wasUp = isUp
+}
+
+// Prefixes of configuration keys.
+const (
+	ConfigDrain = "drain."
+	ConfigQuota = "quota."
+)
+
+// useConfig puts the configuration into force.
+func (d *Decider) useConfig() {
+	d.configVersion = max(d.configVersion, d.config.Next)
+	drains := make(map[string]bool)
+	for key, entry := range d.config.Config {
+		if name, found := strings.CutPrefix(key, ConfigDrain); found {
+			drains[name] = entry.Value == "true"
+		}
+		if name, found := strings.CutPrefix(key, ConfigQuota); found {
+			percent, err := strconv.ParseFloat(entry.Value, 64)
+			if err == nil {
+				d.planner.SetQuota(name, percent)
+			}
+		}
+	}
+	d.tracker.SetDrains(d.now, drains)
+}
+
+func (d *Decider) hostsListed(now time.Time, e signaller.HostsListed) {
+	d.hosts = e.Hosts
+	d.setWorkers(now, e.SentAt)
+	var upstreams []descriptor.Host
+	for _, host := range e.Hosts {
+		if host.Role == descriptor.RoleUpstream && host.DataCentre == d.options.DataCentre {
+			upstreams = append(upstreams, host)
+		}
+	}
+	d.admitter.SetUpstreams(upstreams)
+}
+
+// setWorkers tells the tracker of the workers of the data centre.
+func (d *Decider) setWorkers(now, sentAt time.Time) {
+	workers := make(map[string]descriptor.Host)
+	for _, host := range d.hosts {
+		if host.Role == descriptor.RoleWorker && host.DataCentre == d.options.DataCentre {
+			workers[host.Name] = host
+		}
+	}
+	d.tracker.SetWorkers(now, sentAt, workers, func(host descriptor.Host) descriptor.ShardID {
+		return d.options.Layout.ShardOfRack(host.DataCentre, host.Rack)
+	})
+}
+
+func sortedJobs(jobs map[descriptor.JobID]*applier.JobRecord) []descriptor.JobID {
+	ids := make([]descriptor.JobID, 0, len(jobs))
+	for id := range jobs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b descriptor.JobID) int {
+		return cmp.Or(cmp.Compare(jobs[a].Offset, jobs[b].Offset), cmp.Compare(a, b))
+	})
+	return ids
+}
--- /dev/null
+++ b/internal/core/tracker/tracker.go
@@ -0,0 +1,390 @@
+// Package tracker follows the tasks of the shards that this host holds, on their workers:
+// it starts, renews, stops and reconciles them.
+//
+// What runs is known from the workers alone. After taking a shard over, the tracker reads
+// the inventory of each of its workers before anything is started; a worker that does not
+// answer counts as full until the last lease that it could hold has lapsed. Room is given
+// back only on a worker's word, or once every lease that anybody promised has lapsed.
+//
+// # Usage
+//
+//	t := tracker.New(tracker.Options{}, plan, authority, jobs)
+//	t.SetWorkers(now, hosts)
+//	t.Acquire(now, shard)
+//	t.WorkerAnswered(now, event, &out)
+//	t.Tick(now, &out)
+package tracker
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lentilrock.example/internal/cell/applier"
+	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/cell/recorder"
+	"lentilrock.example/internal/container/prioritizer"
+	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/blamer"
+	"lentilrock.example/internal/core/planner"
+	"lentilrock.example/internal/core/signaller"
+)
+
+// Options are the times of the tracker. A zero field takes its default.
+type Options struct {
+	// Lease is how long a renewal lets tasks run on.
+	Lease time.Duration
+	// Heartbeat is the time between two heartbeats to a worker.
+	Heartbeat time.Duration
+	// Skew bounds the difference of two hosts' wall clocks.
+	Skew time.Duration
+	// Silence is the time without an answer after which nothing is placed on a worker.
+	Silence time.Duration
+	// MinFirstLease is the shortest first lease that is worth a start.
+	MinFirstLease time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultLease         = 15 * time.Second
+	DefaultHeartbeat     = time.Second
+	DefaultSkew          = 100 * time.Millisecond
+	DefaultSilence       = 3 * time.Second
+	DefaultMinFirstLease = 300 * time.Millisecond
+)
+
+// settleDelay is how soon after a start the worker's leases are renewed.
+const settleDelay = 200 * time.Millisecond
+
+// maxExcused is how many failures of a task may be put down to its workers.
+const maxExcused = 2
+
+func (o Options) withDefaults() Options {
+	o.Lease = cmp.Or(o.Lease, DefaultLease)
+	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
+	o.Skew = cmp.Or(o.Skew, DefaultSkew)
+	o.Silence = cmp.Or(o.Silence, DefaultSilence)
+	o.MinFirstLease = cmp.Or(o.MinFirstLease, DefaultMinFirstLease)
+	return o
+}
+
+// Authority says what this host may do for a shard.
+type Authority interface {
+	// StartUntil returns the end of the window in which this host may start tasks; it is
+	// zero where it may not.
+	StartUntil(now time.Time, shard descriptor.ShardID) time.Time
+	// MayRenew reports whether this host may renew the leases of a worker.
+	MayRenew(now time.Time, shard descriptor.ShardID, worker string) bool
+	// MayDeclareLost reports whether nobody else can still renew a worker's leases, once
+	// those that this host knows of have lapsed.
+	MayDeclareLost(now time.Time, shard descriptor.ShardID, worker string) bool
+	// Epoch returns the epoch under which this host holds the shard.
+	Epoch(shard descriptor.ShardID) int64
+}
+
+// Jobs is the state of jobs in the log.
+type Jobs interface {
+	// Job returns a job, or nil where the log knows none.
+	Job(id descriptor.JobID) *applier.JobRecord
+}
+
+// Tracker follows the tasks of the held shards.
+type Tracker struct {
+	options   Options
+	planner   *planner.Planner
+	authority Authority
+	jobs      Jobs
+	blame     blamer.Blamer
+
+	workers map[string]*worker
+	shards  map[descriptor.ShardID]*shard
+	tasks   map[descriptor.TaskID]*task
+	byJob   map[descriptor.JobID][]*task
+	delayed *prioritizer.Queue[delayed]
+	// ended holds the ends that are not yet sent to the log.
+	ended map[descriptor.JobID][]recorder.EndedTask
+	drain map[string]bool
+	sizes Sizes
+}
+
+// Sizes learns what tasks of a class really use.
+type Sizes interface {
+	// Observe takes in a measured use.
+	Observe(class string, usage descriptor.Size)
+	// Need returns the size to plan with for a class and a declared size.
+	Need(class string, declared descriptor.Size) descriptor.Size
+}
+
+type delayed struct {
+	due  time.Time
+	task *task
+}
+
+type shard struct {
+	// acquiredAt is when nobody else could act any more; zero for a shard that is only
+	// cared for.
+	acquiredAt time.Time
+	// listed reports that the host list was read since.
+	listed bool
+	read   bool
+}
+
+// New returns a tracker that follows nothing.
+func New(options Options, p *planner.Planner, authority Authority, jobs Jobs, sizes Sizes) *Tracker {
+	return &Tracker{
+		options: options.withDefaults(), planner: p, authority: authority, jobs: jobs, sizes: sizes,
+		workers: make(map[string]*worker),
+		shards:  make(map[descriptor.ShardID]*shard),
+		tasks:   make(map[descriptor.TaskID]*task),
+		byJob:   make(map[descriptor.JobID][]*task),
+		ended:   make(map[descriptor.JobID][]recorder.EndedTask),
+		drain:   make(map[string]bool),
+		delayed: prioritizer.New(func(a, b delayed) bool {
+			if !a.due.Equal(b.due) {
+				return a.due.Before(b.due)
+			}
+			return a.task.id.String() < b.task.id.String()
+		}),
+	}
+}
+
+// SetWorkers takes in the workers of the data centre with the shard of each. A worker
+// that is no longer listed gets nothing new; its tasks are followed to their end.
+// The list was asked for at sentAt.
+func (t *Tracker) SetWorkers(now, sentAt time.Time, hosts map[string]descriptor.Host, shardOf func(descriptor.Host) descriptor.ShardID) {
+	for _, s := range t.shards {
+		s.listed = s.listed || (!s.acquiredAt.IsZero() && !sentAt.Before(s.acquiredAt))
+	}
+	for _, name := range sorter.Keys(hosts) {
+		host := hosts[name]
+		id := shardOf(host)
+		if _, held := t.shards[id]; held {
+			t.putWorker(now, id, host)
+		}
+	}
+	for _, w := range t.workers {
+		host, listed := hosts[w.host.Name]
+		w.leaving = !listed || host.State == descriptor.ListLeaving
+		t.setOpen(now, w)
+	}
+}
+
+func (t *Tracker) putWorker(now time.Time, id descriptor.ShardID, host descriptor.Host) {
+	if w, found := t.workers[host.Name]; found {
+		w.host = host
+		t.planner.PutWorker(host)
+		return
+	}
+	w := &worker{host: host, shard: id, tasks: make(map[descriptor.TaskID]*task)}
+	// Whoever held the shard before may have promised leases until it was acquired.
+	w.promised = now.Add(t.options.Lease)
+	w.lastAnswer = now
+	t.workers[host.Name] = w
+	t.planner.PutWorker(host)
+	t.setOpen(now, w)
+}
+
+// Follow begins to renew the leases of a shard for a holder that is silent. Nothing is
+// started.
+func (t *Tracker) Follow(id descriptor.ShardID) {
+	if _, found := t.shards[id]; !found {
+		t.shards[id] = &shard{}
+	}
+}
+
+// Acquire takes a shard over, now that nobody else can act for it. Nothing is started
+// before IsRead: only what the workers and the host list say from now on counts.
+func (t *Tracker) Acquire(now time.Time, id descriptor.ShardID) {
+	t.Follow(id)
+	s := t.shards[id]
+	if !s.acquiredAt.IsZero() {
+		return
+	}
+	s.acquiredAt = now
+	s.listed = false
+	for _, w := range t.workers {
+		if w.shard != id {
+			continue
+		}
+		w.read = false
+		w.nextBeat = now
+		w.promise(now.Add(t.options.Lease))
+	}
+}
+
+// IsAcquired reports whether a shard was taken over.
+func (t *Tracker) IsAcquired(id descriptor.ShardID) bool {
+	s, found := t.shards[id]
+	return found && !s.acquiredAt.IsZero()
+}
+
+// IsFollowed reports whether the leases of a shard are renewed.
+func (t *Tracker) IsFollowed(id descriptor.ShardID) bool {
+	_, found := t.shards[id]
+	return found
+}
+
+// Drop forgets a shard that this host holds no more.
+func (t *Tracker) Drop(id descriptor.ShardID) {
+	if _, found := t.shards[id]; !found {
+		return
+	}
+	delete(t.shards, id)
+	for taskID, k := range t.tasks {
+		if k.shard == id {
+			t.planner.Release(taskID)
+			t.planner.Withdraw(k.job.ID)
+			t.forget(k)
+		}
+	}
+	for name, w := range t.workers {
+		if w.shard == id {
+			t.planner.RemoveWorker(name)
+			delete(t.workers, name)
+		}
+	}
+}
+
+// IsRead reports whether the inventory of each worker of a shard is known, or its leases
+// have lapsed.
+func (t *Tracker) IsRead(now time.Time, id descriptor.ShardID) bool {
+	s, found := t.shards[id]
+	if !found || !s.listed || s.acquiredAt.IsZero() {
+		return false
+	}
+	if s.read {
+		return true
+	}
+	for _, w := range t.workers {
+		if w.shard == id && !w.read && !t.hasLapsed(now, w) {
+			return false
+		}
+	}
+	s.read = true
+	return true
+}
+
+// Adopt queues the tasks of an open job that are not known to run. The job's shard must
+// have been read.
+func (t *Tracker) Adopt(now time.Time, id descriptor.ShardID, record *applier.JobRecord, out *signaller.Outbox) {
+	var fresh []*task
+	for index := range record.Job.Tasks {
+		taskID := descriptor.TaskID{Job: record.Job.ID, Index: index}
+		if _, known := t.tasks[taskID]; known || record.IsTaskDone(index) {
+			continue
+		}
+		k := t.newTask(taskID, record, id)
+		if worker, begun := record.Begun[index]; begun {
+			t.endUnknownOneShot(k, worker, out)
+			continue
+		}
+		fresh = append(fresh, k)
+	}
+	t.queue(now, record.Job, fresh)
+}
+
+// endUnknownOneShot fails a one-shot task that may have been started by a former holder
+// and runs nowhere: it must not be started again.
+func (t *Tracker) endUnknownOneShot(k *task, worker string, out *signaller.Outbox) {
+	k.worker = worker
+	out.Report("A one-shot task may have run and is not repeated.", "task", k.id.String(), "worker", worker)
+	t.end(k, recorder.EndedTask{
+		Index: k.id.Index, Attempt: k.attempt + 1, End: recorder.TaskFailed, Worker: worker,
+	})
+}
+
+func (t *Tracker) newTask(id descriptor.TaskID, record *applier.JobRecord, shardID descriptor.ShardID) *task {
+	k := &task{
+		id: id, job: record.Job, shard: shardID, machine: chart.Machine(),
+		attempt: record.Ended[id.Index].Attempt, restore: record.Ended[id.Index].Checkpointed,
+	}
+	t.tasks[id] = k
+	t.byJob[id.Job] = append(t.byJob[id.Job], k)
+	return k
+}
+
+func (t *Tracker) queue(now time.Time, job descriptor.Job, tasks []*task) {
+	indexes := make([]int, 0, len(tasks))
+	for _, k := range slices.Backward(tasks) {
+		indexes = append(indexes, k.id.Index)
+	}
+	t.planner.Submit(now, job, indexes, t.sizes.Need(job.ClassName(), job.Size))
+}
+
+func (t *Tracker) forget(k *task) {
+	delete(t.tasks, k.id)
+	if w, found := t.workers[k.worker]; found && w.tasks[k.id] == k {
+		delete(w.tasks, k.id)
+	}
+	list := slices.DeleteFunc(t.byJob[k.id.Job], func(o *task) bool { return o == k })
+	if len(list) == 0 {
+		delete(t.byJob, k.id.Job)
+		return
+	}
+	t.byJob[k.id.Job] = list
+}
+
+// end takes in that an attempt ended for certain; the log hears of it next.
+func (t *Tracker) end(k *task, ended recorder.EndedTask) {
+	if !k.fire(eventEnded) {
+		return
+	}
+	k.attempt = ended.Attempt
+	t.planner.Release(k.id)
+	if w, found := t.workers[k.worker]; found {
+		delete(w.tasks, k.id)
+	}
+	t.ended[k.id.Job] = append(t.ended[k.id.Job], ended)
+}
+
+// TakeEnded returns the ends that the log must hear of, by job.
+func (t *Tracker) TakeEnded() []recorder.TasksEnded {
+	var bodies []recorder.TasksEnded
+	for _, id := range sorter.Keys(t.ended) {
+		bodies = append(bodies, recorder.TasksEnded{Job: id, Ended: t.ended[id]})
+	}
+	clear(t.ended)
+	return bodies
+}
+
+// EndsRecorded takes in that the log holds the ends of some tasks of a job: the workers
+// may forget them, and what is not done is tried again.
+func (t *Tracker) EndsRecorded(now time.Time, record *applier.JobRecord, ended []recorder.EndedTask) {
+	for _, e := range ended {
+		id := descriptor.TaskID{Job: record.Job.ID, Index: e.Index}
+		t.acknowledge(e.Worker, id, e.Attempt)
+		k, found := t.tasks[id]
+		if !found || k.machine.State() != StateEnded || k.attempt > e.Attempt {
+			continue
+		}
+		if record.IsTaskDone(e.Index) || !record.IsOpen() || record.Job.OneShot {
+			t.forget(k)
+			continue
+		}
+		k.restore = e.Checkpointed
+		k.fire(eventEndRecorded)
+		failures := max(record.Failures[e.Index], k.excused)
+		t.delay(now, k, failures)
+	}
+}
+
+func (t *Tracker) delay(now time.Time, k *task, failures int) {
+	wait := time.Duration(0)
+	if failures > 0 {
+		wait = k.backoff(failures)
+	}
+	t.delayed.Push(delayed{due: now.Add(wait), task: k})
+}
+
+// Close stops all tasks of a job that was cancelled or has ended.
+func (t *Tracker) Close(now time.Time, id descriptor.JobID, out *signaller.Outbox) {
+	t.planner.Withdraw(id)
+	for _, k := range slices.Clone(t.byJob[id]) {
+		switch k.machine.State() {
+		case StateRunning, StateStarting, StateUnsettled:
+			t.stop(k, false, out)
+		case StateDelayed, StateQueued, StateRecording:
+			t.forget(k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/tracker/view.go
@@ -0,0 +1,90 @@
+package tracker
+
+import (
+	"time"
+
+	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/blamer"
+)
+
+// TaskView is a task as operators see it.
+type TaskView struct {
+	Task    descriptor.TaskID
+	State   string
+	Attempt int
+	Worker  string
+	Size    descriptor.Size
+	Usage   descriptor.Size
+	Since   time.Time
+	Reason  string
+}
+
+// Tasks lists the tasks of the held shards by name.
+func (t *Tracker) Tasks() []TaskView {
+	views := make([]TaskView, 0, len(t.tasks))
+	for _, id := range sortedTaskIDs(t.tasks) {
+		k := t.tasks[id]
+		view := TaskView{
+			Task: id, State: string(k.machine.State()), Attempt: k.attempt,
+			Worker: k.worker, Size: k.size, Usage: k.usage, Since: k.sentAt,
+		}
+		if k.machine.State() == StateQueued {
+			_, view.Since, view.Reason = t.planner.Waiting(id.Job)
+		}
+		views = append(views, view)
+	}
+	return views
+}
+
+// CountStates counts the tasks of a job by state.
+func (t *Tracker) CountStates(id descriptor.JobID) map[string]int {
+	counts := make(map[string]int)
+	for _, k := range t.byJob[id] {
+		counts[string(k.machine.State())]++
+	}
+	return counts
+}
+
+// WorkerView is a worker as operators see it.
+type WorkerView struct {
+	Host  descriptor.Host
+	State string
+	Tasks int
+	Free  descriptor.Size
+}
+
+// Workers lists the workers of the held shards by name.
+func (t *Tracker) Workers() []WorkerView {
+	views := make([]WorkerView, 0, len(t.workers))
+	for _, name := range sorter.Keys(t.workers) {
+		w := t.workers[name]
+		views = append(views, WorkerView{
+			Host: w.host, State: t.stateOf(w), Tasks: len(w.tasks), Free: t.planner.Pool().Free(name),
+		})
+	}
+	return views
+}
+
+func (t *Tracker) stateOf(w *worker) string {
+	switch {
+	case w.lost:
+		return "lost"
+	case w.silent:
+		return "silent"
+	case !w.read:
+		return "reading"
+	case w.leaving:
+		return "leaving"
+	case t.isDrained(w.host):
+		return "drained"
+	case t.blame.IsProbing(w.host.Name):
+		return "probing"
+	case t.blame.IsHeld(w.host.Name):
+		return "held_back"
+	}
+	return "open"
+}
+
+// Holds lists the workers that are held back.
+func (t *Tracker) Holds() []blamer.Hold { return t.blame.Holds() }
--- /dev/null
+++ b/internal/platform/connector/host.go
@@ -0,0 +1,82 @@
+package connector
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/platform/messages"
+)
+
+// List is the platform's host list.
+type List interface {
+	// Hosts returns the hosts that are listed now; changes show with a lag.
+	Hosts(ctx context.Context) ([]descriptor.Host, error)
+}
+
+// HTTPList is the host list over HTTP.
+type HTTPList struct {
+	Client  *http.Client
+	Address netip.AddrPort
+}
+
+// Hosts implements List.
+func (l HTTPList) Hosts(ctx context.Context) ([]descriptor.Host, error) {
+	var hosts []descriptor.Host
+	url := "http://" + l.Address.String() + "/v1/hosts"
+	if err := call(ctx, l.Client, http.MethodGet, url, nil, &hosts); err != nil {
+		return nil, errors.Errorf("read host list: %w", err)
+	}
+	return hosts, nil
+}
+
+// Workers calls the platform's workers.
+type Workers interface {
+	// Start starts an attempt. An error that does not wrap ErrNotDone leaves open
+	// whether it runs.
+	Start(ctx context.Context, worker descriptor.Host, start messages.Start) error
+	// Heartbeat renews leases and returns the worker's inventory.
+	Heartbeat(ctx context.Context, worker descriptor.Host, beat messages.Heartbeat) (messages.Inventory, error)
+	// Stop ends an attempt.
+	Stop(ctx context.Context, worker descriptor.Host, stop messages.Stop) error
+	// Throttle holds an attempt to its size, or lets go of it.
+	Throttle(ctx context.Context, worker descriptor.Host, throttle messages.Throttle) error
+}
+
+// HTTPWorkers calls workers over HTTP.
+type HTTPWorkers struct {
+	Client *http.Client
+}
+
+func (w HTTPWorkers) post(ctx context.Context, worker descriptor.Host, path string, body, reply any) error {
+	url := "http://" + worker.Address.String() + path
+	if err := call(ctx, w.Client, http.MethodPost, url, body, reply); err != nil {
+		return errors.Errorf("call worker %s: %w", worker.Name, err)
+	}
+	return nil
+}
+
+// Start implements Workers.
+func (w HTTPWorkers) Start(ctx context.Context, worker descriptor.Host, start messages.Start) error {
+	return w.post(ctx, worker, "/v1/start", start, nil)
+}
+
+// Heartbeat implements Workers.
+func (w HTTPWorkers) Heartbeat(ctx context.Context, worker descriptor.Host, beat messages.Heartbeat) (messages.Inventory, error) {
+	var inventory messages.Inventory
+	err := w.post(ctx, worker, "/v1/heartbeat", beat, &inventory)
+	return inventory, err
+}
+
+// Stop implements Workers.
+func (w HTTPWorkers) Stop(ctx context.Context, worker descriptor.Host, stop messages.Stop) error {
+	return w.post(ctx, worker, "/v1/stop", stop, nil)
+}
+
+// Throttle implements Workers.
+func (w HTTPWorkers) Throttle(ctx context.Context, worker descriptor.Host, throttle messages.Throttle) error {
+	return w.post(ctx, worker, "/v1/throttle", throttle, nil)
+}
--- /dev/null
+++ b/internal/platform/connector/log.go
@@ -0,0 +1,55 @@
+package connector
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/platform/messages"
+)
+
+// Log is the platform's append-only log.
+type Log interface {
+	// Append adds records to the end of a stream, all or none, and returns the offset
+	// of the first. An error that does not wrap ErrNotDone leaves open whether they
+	// were added.
+	Append(ctx context.Context, stream string, records []json.RawMessage) (int64, error)
+	// Read returns the records from an offset on, waiting for one at the tail.
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (messages.Page, error)
+}
+
+// HTTPLog is the log over HTTP.
+type HTTPLog struct {
+	Client  *http.Client
+	Address netip.AddrPort
+}
+
+func (l HTTPLog) url(stream string) string {
+	return "http://" + l.Address.String() + "/v1/streams/" + url.PathEscape(stream) + "/records"
+}
+
+// Append implements Log.
+func (l HTTPLog) Append(ctx context.Context, stream string, records []json.RawMessage) (int64, error) {
+	var reply messages.AppendReply
+	err := call(ctx, l.Client, http.MethodPost, l.url(stream), messages.AppendRequest{Records: records}, &reply)
+	if err != nil {
+		return 0, errors.Errorf("append to stream %s: %w", stream, err)
+	}
+	return reply.Offset, nil
+}
+
+// Read implements Log.
+func (l HTTPLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (messages.Page, error) {
+	var page messages.Page
+	query := "?from=" + strconv.FormatInt(from, 10) + "&wait=" + wait.String()
+	if err := call(ctx, l.Client, http.MethodGet, l.url(stream)+query, nil, &page); err != nil {
+		return messages.Page{}, errors.Errorf("read stream %s: %w", stream, err)
+	}
+	return page, nil
+}
--- /dev/null
+++ b/internal/query/executor/change.go
@@ -0,0 +1,247 @@
+package executor
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/cell/recorder"
+	"lentilrock.example/internal/core/decider"
+	"lentilrock.example/internal/node/runner"
+	"lentilrock.example/internal/query/parser"
+	"lentilrock.example/internal/query/tabler"
+)
+
+// proposals turns a statement into the changes that it asks for.
+func (e *Executor) proposals(ctx context.Context, c Command, s *parser.Statement) ([]runner.Proposal, error) {
+	if c.ID == "" {
+		c.ID = e.options.Runner.NewID()
+	}
+	base := runner.Proposal{ID: c.ID, Author: c.Author}
+	switch {
+	case s.Cancel != nil:
+		return e.cancels(ctx, base, s.Cancel)
+	case s.Drain != nil:
+		return e.setKey(ctx, base, drainKey(s.Drain), "true", nil)
+	case s.Quota != nil:
+		return e.setKey(ctx, base, decider.ConfigQuota+s.Quota.Team, s.Quota.Percent, s.Quota.Version)
+	case s.Set != nil:
+		return e.setKey(ctx, base, s.Set.Key, s.Set.Value, s.Set.Version)
+	case s.Submit != nil:
+		job, err := jobOf(s.Submit)
+		if err != nil {
+			return nil, err
+		}
+		base.Submit = &recorder.Submit{Job: job}
+		return []runner.Proposal{base}, nil
+	case s.Undrain != nil:
+		return e.setKey(ctx, base, drainKey(s.Undrain), "false", nil)
+	}
+	return nil, errors.New("the statement changes nothing")
+}
+
+func drainKey(d *parser.Drain) string {
+	return decider.ConfigDrain + d.Kind + "." + d.Name
+}
+
+// setKey proposes a change of configuration. Without a version it replaces the present
+// one, so that of two racing operators one is told that it lost.
+func (e *Executor) setKey(ctx context.Context, base runner.Proposal, key, value string, version *int64) ([]runner.Proposal, error) {
+	if err := checkSetting(key, value); err != nil {
+		return nil, err
+	}
+	replaces := int64(0)
+	if version != nil {
+		replaces = *version
+	} else {
+		e.options.Runner.Look(ctx, func(d *decider.Decider) {
+			replaces = d.Config().Config[key].Version
+		})
+	}
+	base.Config = &recorder.Config{Key: key, Value: value, Replaces: replaces}
+	return []runner.Proposal{base}, nil
+}
+
+// checkSetting refuses keys and values that could have no effect.
+func checkSetting(key, value string) error {
+	switch {
+	case strings.HasPrefix(key, decider.ConfigDrain):
+		if _, err := strconv.ParseBool(value); err != nil {
+			return errors.Newf("%s is %q, want true or false", key, value)
+		}
+	case strings.HasPrefix(key, decider.ConfigQuota):
+		team := strings.TrimPrefix(key, decider.ConfigQuota)
+		if err := descriptor.CheckID("team", team); err != nil {
+			return errors.Errorf("check key %s: %w", key, err)
+		}
+		percent, err := strconv.ParseFloat(value, 64)
+		if err != nil || percent < 0 || percent > 100 {
+			return errors.Newf("%s is %q, want a percentage from 0 to 100", key, value)
+		}
+	case strings.HasPrefix(key, "note."):
+	default:
+		return errors.Newf("key %q is unknown, want drain.*, note.* or quota.*", key)
+	}
+	return nil
+}
+
+// cancels proposes one record for each data centre whose jobs are to end.
+func (e *Executor) cancels(ctx context.Context, base runner.Proposal, c *parser.Cancel) ([]runner.Proposal, error) {
+	ids := []descriptor.JobID{descriptor.JobID(c.ID)}
+	if c.ID == "" {
+		found, err := e.openJobs(ctx, c.Where)
+		if err != nil {
+			return nil, err
+		}
+		ids = found
+	}
+	byHome := make(map[string][]descriptor.JobID)
+	for _, id := range ids {
+		home := e.options.Layout.Home(string(id))
+		byHome[home] = append(byHome[home], id)
+	}
+	var proposals []runner.Proposal
+	for _, home := range e.options.Layout.DataCentres {
+		if len(byHome[home]) == 0 {
+			continue
+		}
+		p := base
+		p.ID = base.ID + "." + home
+		p.Close = &recorder.CloseJobs{
+			Jobs: byHome[home], End: recorder.JobCancelled, Reason: "cancelled by " + base.Author.Name,
+		}
+		proposals = append(proposals, p)
+	}
+	if len(proposals) == 0 {
+		return nil, errors.New("no open job matches")
+	}
+	return proposals, nil
+}
+
+func (e *Executor) openJobs(ctx context.Context, where []parser.Condition) ([]descriptor.JobID, error) {
+	table, err := e.gather(ctx, "jobs")
+	if err != nil {
+		return nil, err
+	}
+	if len(table.Missing) > 0 {
+		return nil, errors.Newf("not all jobs are known, nothing was cancelled: %s", strings.Join(table.Missing, "; "))
+	}
+	if err := filter(&table, where); err != nil {
+		return nil, err
+	}
+	var ids []descriptor.JobID
+	for _, row := range table.Rows {
+		isOpen := row[3] == "running" || row[3] == "waiting"
+		if isOpen {
+			ids = append(ids, descriptor.JobID(row[0]))
+		}
+	}
+	return ids, nil
+}
+
+// jobOf turns a submit statement into a job.
+func jobOf(s *parser.Submit) (descriptor.Job, error) {
+	job := descriptor.Job{
+		ID: descriptor.JobID(s.ID), Kind: descriptor.Kind(s.Kind), Tasks: 1,
+		Priority: descriptor.PriorityNormal,
+	}
+	for _, option := range s.Options {
+		if err := setOption(&job, option); err != nil {
+			return descriptor.Job{}, errors.Errorf("read option %s: %w", option.Name, err)
+		}
+	}
+	return job, nil
+}
+
+const milliPerCore = 1000
+
+func setOption(job *descriptor.Job, o parser.Option) error {
+	var err error
+	switch {
+	case o.OneShot:
+		job.OneShot = true
+	case o.Name == "accelerators":
+		job.Size.Accelerators, err = strconv.ParseInt(o.Value, 10, 64)
+	case o.Name == "class":
+		job.Class = o.Value
+	case o.Name == "cores":
+		var cores float64
+		cores, err = strconv.ParseFloat(o.Value, 64)
+		job.Size.MilliCores = int64(cores * milliPerCore)
+	case o.Name == "memory":
+		job.Size.MemoryBytes, err = descriptor.ParseBytes(o.Value)
+	case o.Name == "min_running":
+		job.MinRunning, err = strconv.Atoi(o.Value)
+	case o.Name == "priority":
+		job.Priority, err = parsePriority(o.Value)
+	case o.Name == "rack":
+		job.Racks = append(job.Racks, o.Value)
+	case o.Name == "retries":
+		job.MaxRetries, err = strconv.Atoi(o.Value)
+	case o.Name == "run_time":
+		job.RunTime, err = time.ParseDuration(o.Value)
+	case o.Name == "tasks":
+		job.Tasks, err = strconv.Atoi(o.Value)
+	case o.Name == "team":
+		job.Team = o.Value
+	}
+	return errors.Wrapf(err, "value %q", o.Value)
+}
+
+func parsePriority(text string) (int, error) {
+	switch text {
+	case "low":
+		return descriptor.PriorityLow, nil
+	case "normal":
+		return descriptor.PriorityNormal, nil
+	case "urgent":
+		return descriptor.PriorityUrgent, nil
+	}
+	n, err := strconv.Atoi(text)
+	return n, errors.Wrap(err, "want low, normal, urgent or a number")
+}
+
+// explain says what a statement would change, without changing it.
+func (e *Executor) explain(ctx context.Context, s *parser.Statement) (Reply, error) {
+	proposals, err := e.proposals(ctx, Command{ID: "explained"}, s)
+	if err != nil {
+		return Reply{}, err
+	}
+	table := tabler.Table{Columns: []string{"change", "subject", "now", "then"}}
+	for _, p := range proposals {
+		e.explainOne(ctx, p, &table)
+	}
+	return Reply{Table: table}, nil
+}
+
+func (e *Executor) explainOne(ctx context.Context, p runner.Proposal, table *tabler.Table) {
+	switch {
+	case p.Close != nil:
+		for _, id := range p.Close.Jobs {
+			table.Add("cancel", string(id), "open", "cancelled")
+		}
+	case p.Config != nil:
+		e.options.Runner.Look(ctx, func(d *decider.Decider) {
+			present := d.Config().Config[p.Config.Key]
+			table.Add("set", p.Config.Key,
+				fmt.Sprintf("%q (version %d)", present.Value, present.Version),
+				fmt.Sprintf("%q (version %d)", p.Config.Value, p.Config.Replaces+1))
+			if present.Version != p.Config.Replaces {
+				table.Notes = append(table.Notes, "it would lose: the present version is "+strconv.FormatInt(present.Version, 10))
+			}
+		})
+	case p.Submit != nil:
+		e.options.Runner.Look(ctx, func(d *decider.Decider) {
+			then := "accepted"
+			if err := d.CheckJob(p.Submit.Job); err != nil {
+				then = "refused: " + err.Error()
+			}
+			table.Add("submit", string(p.Submit.Job.ID), "-", then)
+		})
+	}
+}
--- /dev/null
+++ b/internal/query/viewer/viewer.go
@@ -0,0 +1,238 @@
+// Package viewer shows what one host knows as tables, one for each noun of the language.
+//
+// # Usage
+//
+//	runner.Look(ctx, func(d *decider.Decider) {
+//		table, err = viewer.View(d, now, "jobs")
+//	})
+package viewer
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/cell/applier"
+	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/decider"
+	"lentilrock.example/internal/query/tabler"
+)
+
+// views gives the view of each noun that is shown host by host.
+var views = map[string]func(d *decider.Decider, now time.Time) tabler.Table{
+	"audit":    Audit,
+	"config":   Config,
+	"hosts":    Hosts,
+	"jobs":     Jobs,
+	"quotas":   Quotas,
+	"requests": Requests,
+	"shards":   Shards,
+	"tasks":    Tasks,
+	"workers":  Workers,
+}
+
+// IsCellWide reports whether every host knows all rows of a noun.
+func IsCellWide(noun string) bool {
+	return noun == "config" || noun == "hosts"
+}
+
+// View returns the table of a noun.
+func View(d *decider.Decider, now time.Time, noun string) (tabler.Table, error) {
+	view, found := views[noun]
+	if !found {
+		return tabler.Table{}, errors.Newf("%q can't be shown", noun)
+	}
+	return view(d, now), nil
+}
+
+func stamp(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+func age(now, since time.Time) string {
+	if since.IsZero() {
+		return "-"
+	}
+	return now.Sub(since).Round(time.Millisecond).String()
+}
+
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// Config shows the configuration of the cell.
+func Config(d *decider.Decider, _ time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{"key", "value", "version", "by", "at", "offset"}}
+	for _, key := range sorter.Keys(d.Config().Config) {
+		e := d.Config().Config[key]
+		t.Add(key, e.Value, strconv.FormatInt(e.Version, 10), e.Author.Name, stamp(e.At), strconv.FormatInt(e.Offset, 10))
+	}
+	return t
+}
+
+// Audit shows the audit trail of the configuration and of the data centre.
+func Audit(d *decider.Decider, _ time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{
+		"at", "by", "from", "action", "subject", "before", "after", "outcome", "id",
+	}}
+	entries := slices.Clone(d.Local().Audit)
+	if d.DataCentre() == d.Layout().DataCentres[0] {
+		entries = append(entries, d.Config().Audit...)
+	}
+	slices.SortStableFunc(entries, func(a, b applier.AuditEntry) int { return a.At.Compare(b.At) })
+	for _, e := range entries {
+		outcome := "applied"
+		if !e.Verdict.Applied {
+			outcome = "lost: " + e.Verdict.Reason
+		}
+		t.Add(stamp(e.At), e.Author.Name, dash(e.Author.From), e.Action, e.Subject,
+			dash(e.Verdict.Before), dash(e.Verdict.After), outcome, e.ID)
+	}
+	return t
+}
+
+// Hosts shows the platform's host list as this host last read it.
+func Hosts(d *decider.Decider, now time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{"host", "role", "state", "data_centre", "region", "address", "rack", "heard"}}
+	live := d.Live(now)
+	for _, h := range d.Hosts() {
+		heard := "-"
+		if h.Role == descriptor.RoleEntry && h.DataCentre == d.DataCentre() {
+			heard = strconv.FormatBool(slices.ContainsFunc(live, func(id descriptor.HostID) bool { return id.Name == h.Name }))
+		}
+		t.Add(h.Name, string(h.Role), string(h.State), h.DataCentre, h.Region, h.Address.String(), dash(h.Rack), heard)
+	}
+	return t
+}
+
+// isShown reports whether this host answers for a shard: its holder does.
+func isShown(d *decider.Decider, shard descriptor.ShardID) bool {
+	return d.Local().Claim(shard).Holder == d.Self()
+}
+
+// Jobs shows the jobs whose shards this host holds.
+func Jobs(d *decider.Decider, now time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{
+		"job", "kind", "team", "state", "tasks", "running", "done", "failures", "size", "age", "reason",
+	}}
+	for _, id := range sorter.Keys(d.Local().Jobs) {
+		job := d.Local().Jobs[id]
+		if !isShown(d, d.Layout().ShardOf(string(id))) {
+			continue
+		}
+		counts := d.Tracker().CountStates(id)
+		_, _, reason := d.Planner().Waiting(id)
+		if job.Reason != "" {
+			reason = job.Reason
+		}
+		t.Add(string(id), string(job.Job.Kind), job.Job.Team, stateOf(job, counts),
+			strconv.Itoa(job.Job.Tasks), strconv.Itoa(counts["running"]), strconv.Itoa(countDone(job)),
+			strconv.Itoa(countFailures(job)), job.Job.Size.String(), age(now, job.At), dash(reason))
+	}
+	return t
+}
+
+func stateOf(job *applier.JobRecord, counts map[string]int) string {
+	switch {
+	case !job.IsOpen():
+		return string(job.End)
+	case counts["running"] > 0:
+		return "running"
+	}
+	return "waiting"
+}
+
+func countDone(job *applier.JobRecord) int {
+	count := 0
+	for index := range job.Ended {
+		if job.IsTaskDone(index) {
+			count++
+		}
+	}
+	return count
+}
+
+func countFailures(job *applier.JobRecord) int {
+	count := 0
+	for _, n := range job.Failures {
+		count += n
+	}
+	return count
+}
+
+// Tasks shows the tasks whose shards this host holds.
+func Tasks(d *decider.Decider, now time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{"task", "state", "attempt", "worker", "size", "usage", "since", "reason"}}
+	for _, k := range d.Tracker().Tasks() {
+		t.Add(k.Task.String(), k.State, strconv.Itoa(k.Attempt), dash(k.Worker), k.Size.String(),
+			k.Usage.String(), age(now, k.Since), dash(k.Reason))
+	}
+	return t
+}
+
+// Workers shows the workers whose shards this host holds.
+func Workers(d *decider.Decider, _ time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{"worker", "data_centre", "rack", "state", "tasks", "free", "capacity"}}
+	for _, w := range d.Tracker().Workers() {
+		t.Add(w.Host.Name, w.Host.DataCentre, w.Host.Rack, w.State, strconv.Itoa(w.Tasks),
+			w.Free.String(), w.Host.Capacity.String())
+	}
+	for _, u := range d.Admitter().Upstreams() {
+		if isShown(d, d.Layout().Shards(d.DataCentre())[0]) {
+			t.Add(u.Name, d.DataCentre(), "upstream", u.State, strconv.Itoa(u.Busy),
+				strconv.Itoa(u.Slots-u.Busy), strconv.Itoa(u.Slots))
+		}
+	}
+	return t
+}
+
+// Requests shows the open requests and the closed keys whose shards this host holds.
+func Requests(d *decider.Decider, now time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{"request", "service", "state", "upstream", "attempt", "age"}}
+	for _, r := range d.Admitter().Requests() {
+		t.Add(r.Key, r.Service, r.State, dash(r.Upstream), strconv.Itoa(r.Attempt), age(now, r.Since))
+	}
+	for _, key := range sorter.Keys(d.Local().Requests) {
+		r := d.Local().Requests[key]
+		if !r.Closed || !isShown(d, d.Layout().ShardOf(key)) {
+			continue
+		}
+		t.Add(key, dash(r.Intent.Service), string(r.Outcome.End), dash(fmt.Sprint(r.Intent.Upstreams)), "1", "-")
+	}
+	return t
+}
+
+// Shards shows the shards of the data centre, as their holder sees them.
+func Shards(d *decider.Decider, now time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{"shard", "holder", "heir", "epoch", "state", "window", "read"}}
+	for _, s := range d.Shards() {
+		if s.Claim.Epoch > 0 && s.Claim.Holder != d.Self() {
+			continue
+		}
+		t.Add(s.Shard.String(), dash(s.Claim.Holder.String()), dash(s.Claim.Heir.String()),
+			strconv.FormatInt(s.Claim.Epoch, 10), s.State,
+			s.WindowEnd.Sub(now).Round(time.Millisecond).String(), age(now, s.LastRead))
+	}
+	return t
+}
+
+// Quotas shows what each team uses on the workers that this host holds.
+func Quotas(d *decider.Decider, _ time.Time) tabler.Table {
+	t := tabler.Table{Columns: []string{"team", "data_centre", "quota_percent", "used", "used_percent"}}
+	capacity := d.Planner().Pool().Capacity()
+	for _, use := range d.Planner().Teams() {
+		t.Add(use.Team, d.DataCentre(), strconv.FormatFloat(use.Percent, 'f', -1, 64), use.Used.String(),
+			strconv.FormatFloat(100*use.Used.Share(capacity), 'f', 1, 64))
+	}
+	return t
+}
