--- /dev/null
+++ b/internal/bench/report/main.go
@@ -0,0 +1,61 @@
+// Command report compares the planner with the baselines and prints the figures of
+// docs/MEASUREMENTS.md.
+//
+// # Usage
+//
+//	go run ./internal/bench/report --seed 1
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"lentilrock.example/internal/bench/baseline"
+	"lentilrock.example/internal/bench/comparer"
+	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/planner"
+)
+
+type command struct {
+	Seed uint64  `default:"1" help:"Seed of the trace."`
+	Load float64 `default:"0.9" help:"Part of the scarcest resource that the work asks for."`
+}
+
+// Run compares the schedulers for both users.
+func (c command) Run() error {
+	for _, user := range []comparer.User{comparer.Svacinka, comparer.Lakeshore} {
+		trace := comparer.Generate(user, c.Load, c.Seed)
+		fmt.Printf("%s: %d jobs, load %.2f, seed %d\n", user.Name, len(trace.Arrivals), c.Load, c.Seed)
+		p := planner.New(planner.Options{})
+		for _, host := range user.Hosts() {
+			p.PutWorker(host)
+		}
+		show("planner", comparer.Run(p, trace))
+		for _, fit := range []baseline.Fit{baseline.FirstFit, baseline.RandomFit} {
+			random := rand.New(rand.NewPCG(c.Seed, c.Seed))
+			name := map[baseline.Fit]string{baseline.FirstFit: "first fit", baseline.RandomFit: "random fit"}[fit]
+			show(name, comparer.Run(baseline.New(fit, user.Hosts(), random), trace))
+		}
+	}
+	return nil
+}
+
+func show(name string, r comparer.Result) {
+	fmt.Printf("  %-10s packing %.3f, starts %d, evictions %d, never started %d, %.1f us a start\n", name,
+		r.Packing, r.Starts, r.Evictions, r.Unstarted,
+		float64(r.ProcessorTime.Microseconds())/float64(max(r.Starts, 1)))
+	for _, class := range sorter.Keys(r.Waiting) {
+		q := r.Waiting[class]
+		fmt.Printf("    %-8s %6d waits: p50 %10s  p99 %10s  longest %10s\n", class, q.Count,
+			q.P50.Round(time.Millisecond), q.P99.Round(time.Millisecond), q.Longest.Round(time.Millisecond))
+	}
+}
+
+func main() {
+	var c command
+	ctx := kong.Parse(&c, kong.Name("report"))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/internal/cell/recorder/record.go
+++ b/internal/cell/recorder/record.go
@@ -292,3 +292,13 @@
 	}
 	return body, nil
 }
+
+// MarshalJSON writes a record as the log stores it.
+func (r Record) MarshalJSON() ([]byte, error) { return Encode(r) }
+
+// UnmarshalJSON reads a record as the log stores it.
+func (r *Record) UnmarshalJSON(data []byte) error {
+	record, err := Decode(data)
+	*r = record
+	return err
+}
--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -88,6 +88,10 @@
 	gone   bool
 	// evicting counts the tasks that were asked to make room and have not ended.
 	evicting int
+	// reserved lists the workers that are kept for the job.
+	reserved []string
+	// nextReserve is when the search for workers to reserve is worth another try.
+	nextReserve time.Time
 }
 
 // rankTime orders the jobs of a team: earlier goes first. Each step of priority counts
@@ -129,7 +133,6 @@
 	// racks counts the running tasks of each service by rack.
 	racks    map[rackKey]int
 	reserved map[string]descriptor.JobID
-	holder   *waiting
 }
 
 type rackKey struct {
@@ -251,9 +254,7 @@
 	w.gone = true
 	w.pending = nil
 	delete(p.jobs, id)
-	if p.holder == w {
-		p.unreserve()
-	}
+	p.unreserve(w)
 }
 
 // Occupy accounts a task that is found on a worker.
--- a/internal/core/planner/room.go
+++ b/internal/core/planner/room.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/core/placer"
@@ -12,6 +13,12 @@
 // victimProbes bounds the workers that one search for evictions looks at.
 const victimProbes = 64
 
+// maxReserved is the part of the workers that may be reserved at a time.
+const maxReserved = 0.5
+
+// reserveRetry is the time between two searches for workers to reserve for a job.
+const reserveRetry = time.Second
+
 // makeRoom does what it may for a job that found no room: evict tasks of lower rank, or
 // reserve workers once the job has waited long.
 func (p *Planner) makeRoom(r *round, w *waiting) {
@@ -22,8 +29,9 @@
 	if w.isUrgent() || p.isBelowQuota(w) {
 		p.evictFor(r, w)
 	}
-	isLate := r.now.Sub(w.since) >= p.options.ReserveAfter
-	if w.evicting == 0 && isLate && p.holder == nil {
+	isLate := r.now.Sub(w.since) >= p.options.ReserveAfter && !r.now.Before(w.nextReserve)
+	if w.evicting == 0 && isLate && len(w.reserved) == 0 {
+		w.nextReserve = r.now.Add(reserveRetry)
 		p.reserve(w)
 	}
 }
@@ -108,40 +116,71 @@
 	return r.job.Team != w.job.Team && isBorrowing && r.job.Priority < descriptor.PriorityUrgent
 }
 
-// reserve keeps workers for a job until it is placed: those with the most room first,
-// as many as would take it if they were empty.
+// reserve keeps workers for a job until it is placed: those with the most room first, as
+// many as would take it once all but services have left them. At most a part of the
+// workers is reserved at a time.
 func (p *Planner) reserve(w *waiting) {
-	names := p.pool.Names()
-	slices.SortFunc(names, func(a, b string) int {
-		left, right := p.pool.Free(a), p.pool.Free(b)
-		return cmp.Or(cmp.Compare(right.MilliCores, left.MilliCores), cmp.Compare(a, b))
-	})
 	missing := 1
 	if w.job.Kind == descriptor.KindGang {
 		missing = len(w.pending)
 	}
-	p.holder = w
+	names := p.reservable(w)
+	allowed := int(float64(p.pool.Len())*maxReserved) - len(p.reserved)
+	var chosen []string
 	for _, name := range names {
-		if missing <= 0 {
+		if missing <= 0 || len(chosen) >= allowed {
 			break
 		}
-		host, _ := p.pool.Host(name)
-		count := placer.CountFitting(w.size, host.Capacity)
-		isAllowed := len(w.job.Racks) == 0 || slices.Contains(w.job.Racks, host.Rack)
-		if count == 0 || !isAllowed || !p.pool.IsOpen(name) {
-			continue
+		count := placer.CountFitting(w.size, p.lasting(name))
+		if count > 0 {
+			missing -= count
+			chosen = append(chosen, name)
 		}
-		missing -= count
+	}
+	if missing > 0 {
+		return
+	}
+	for _, name := range chosen {
 		p.reserved[name] = w.job.ID
 		p.pool.Reserve(name, w.job.ID)
 	}
-	w.reason = fmt.Sprintf("%d workers are reserved and emptying", len(p.reserved))
+	w.reserved = chosen
+	w.reason = fmt.Sprintf("%d workers are reserved and emptying", len(chosen))
+}
+
+// reservable lists the workers that a job may have reserved, those with the most room
+// first.
+func (p *Planner) reservable(w *waiting) []string {
+	names := slices.DeleteFunc(p.pool.Names(), func(name string) bool {
+		host, _ := p.pool.Host(name)
+		isAllowed := len(w.job.Racks) == 0 || slices.Contains(w.job.Racks, host.Rack)
+		_, isTaken := p.reserved[name]
+		return isTaken || !isAllowed || !p.pool.IsOpen(name)
+	})
+	slices.SortFunc(names, func(a, b string) int {
+		left, right := p.pool.Free(a), p.pool.Free(b)
+		return cmp.Or(cmp.Compare(right.MilliCores, left.MilliCores), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// lasting returns the room of a worker once all but its services have ended.
+func (p *Planner) lasting(name string) descriptor.Size {
+	host, _ := p.pool.Host(name)
+	room := host.Capacity
+	for _, r := range p.onWorker[name] {
+		if r.job.Kind == descriptor.KindService {
+			room = room.Sub(r.size)
+		}
+	}
+	return room
 }
 
-func (p *Planner) unreserve() {
-	for name := range p.reserved {
+// unreserve lets go of the workers that were kept for a job.
+func (p *Planner) unreserve(w *waiting) {
+	for _, name := range w.reserved {
 		p.pool.Reserve(name, "")
+		delete(p.reserved, name)
 	}
-	clear(p.reserved)
-	p.holder = nil
+	w.reserved = nil
 }
--- a/internal/core/planner/round.go
+++ b/internal/core/planner/round.go
@@ -102,9 +102,7 @@
 func (p *Planner) finish(w *waiting) {
 	delete(p.jobs, w.job.ID)
 	w.gone = true
-	if p.holder == w {
-		p.unreserve()
-	}
+	p.unreserve(w)
 }
 
 // chunk is how many tasks of one job are placed before the teams are compared again.
@@ -154,7 +152,7 @@
 
 func (p *Planner) need(w *waiting) placer.Need {
 	need := placer.Need{Size: w.size, Racks: w.job.Racks, Avoid: w.avoid}
-	if p.holder == w {
+	if len(w.reserved) > 0 {
 		need.Job = w.job.ID
 	}
 	if w.isUrgent() {
