Split the runner and the slots apart, test bad input and one-shot tasks, measure

Found: "cancel where ..." read "where" as the name of a job, so no wave of cancels could be asked for; a negative size was a lexical error that named no field. Both are mended at the grammar.

--- a/internal/bench/report/main.go
+++ b/internal/bench/report/main.go
@@ -24,8 +24,8 @@
 	Load float64 `default:"0.9" help:"Part of the scarcest resource that the work asks for."`
 }
 
-// Run compares the schedulers for both users.
-func (c command) Run() error {
+// compare compares the schedulers for both users.
+func (c command) compare() {
 	for _, user := range []comparer.User{comparer.Svacinka, comparer.Lakeshore} {
 		trace := comparer.Generate(user, c.Load, c.Seed)
 		fmt.Printf("%s: %d jobs, load %.2f, seed %d\n", user.Name, len(trace.Arrivals), c.Load, c.Seed)
@@ -40,7 +40,6 @@
 			show(name, comparer.Run(baseline.New(fit, user.Hosts(), random), trace))
 		}
 	}
-	return nil
 }
 
 func show(name string, r comparer.Result) {
@@ -56,6 +55,6 @@
 
 func main() {
 	var c command
-	ctx := kong.Parse(&c, kong.Name("report"))
-	ctx.FatalIfErrorf(ctx.Run())
+	kong.Parse(&c, kong.Name("report"))
+	c.compare()
 }
--- /dev/null
+++ b/internal/cell/applier/applier_test.go
@@ -0,0 +1,134 @@
+package applier
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/cell/recorder"
+)
+
+func set(key, value string, replaces int64) recorder.Record {
+	return recorder.New(key+value, time.Unix(0, 0).UTC(), recorder.Author{Name: "op"},
+		recorder.Config{Key: key, Value: value, Replaces: replaces})
+}
+
+func TestSnapshotBelowTheStateIsIgnored(t *testing.T) {
+	var old, present State
+	old.Apply(0, set("a", "1", 0))
+	late, err := old.Encode()
+	require.NoError(t, err)
+	present.Apply(0, set("a", "1", 0))
+	present.Apply(1, set("a", "2", 1))
+	isNewer, err := present.Restore(late)
+	require.NoError(t, err)
+	require.False(t, isNewer)
+	require.Equal(t, "2", present.Config["a"].Value)
+
+	var fresh State
+	ahead, err := present.Encode()
+	require.NoError(t, err)
+	isNewer, err = fresh.Restore(ahead)
+	require.NoError(t, err)
+	require.True(t, isNewer)
+	require.Equal(t, present.Config, fresh.Config)
+}
+
+func TestRecordsAreIdempotent(t *testing.T) {
+	shard := descriptor.ShardID{DataCentre: "a"}
+	job := descriptor.Job{ID: "j", Tasks: 1}
+	bodies := []recorder.Body{
+		recorder.Claim{Shard: shard, Epoch: 1, Holder: descriptor.HostID{Name: "e1"}},
+		recorder.Submit{Job: job},
+		recorder.TaskBegun{Shard: shard, Epoch: 1, Task: descriptor.TaskID{Job: "j"}, Worker: "w"},
+		recorder.TasksEnded{Job: "j", Ended: []recorder.EndedTask{{Attempt: 1, End: recorder.TaskFailed}}},
+		recorder.Intent{Shard: shard, Epoch: 1, Key: "k"},
+		recorder.Outcome{Key: "k", End: recorder.RequestRun},
+		recorder.CloseJobs{Jobs: []descriptor.JobID{"j"}, End: recorder.JobDone},
+		recorder.Config{Key: "c", Value: "1"},
+	}
+	var once, twice State
+	offset := int64(0)
+	for i, body := range bodies {
+		record := recorder.New(fmt.Sprint(i), time.Unix(0, 0).UTC(), recorder.Author{}, body)
+		once.Apply(int64(i), record)
+		for range 2 {
+			twice.Apply(offset, record)
+			offset++
+		}
+	}
+	require.Equal(t, once.Jobs["j"].Failures, twice.Jobs["j"].Failures)
+	require.Equal(t, once.Jobs["j"].End, twice.Jobs["j"].End)
+	require.Equal(t, once.Claims[shard.String()].Epoch, twice.Claims[shard.String()].Epoch)
+	require.Equal(t, once.Config["c"].Version, twice.Config["c"].Version)
+	require.Equal(t, once.Requests["k"].Outcome, twice.Requests["k"].Outcome)
+}
+
+func TestIntentUnderAnOldEpochIsVoid(t *testing.T) {
+	shard := descriptor.ShardID{DataCentre: "a"}
+	var state State
+	apply := func(offset int64, body recorder.Body) Verdict {
+		return state.Apply(offset, recorder.New("r", time.Unix(0, 0).UTC(), recorder.Author{}, body))
+	}
+	apply(0, recorder.Claim{Shard: shard, Epoch: 1, Holder: descriptor.HostID{Name: "e1"}})
+	apply(1, recorder.Claim{Shard: shard, Epoch: 2, Holder: descriptor.HostID{Name: "e2"}})
+	require.False(t, apply(2, recorder.Intent{Shard: shard, Epoch: 1, Key: "k"}).Applied)
+	require.True(t, apply(3, recorder.Intent{Shard: shard, Epoch: 2, Key: "k"}).Applied)
+	require.False(t, apply(4, recorder.Claim{Shard: shard, Epoch: 2, Holder: descriptor.HostID{Name: "e1"}}).Applied)
+	apply(5, recorder.Release{Shard: shard, Epoch: 2})
+	require.False(t, apply(6, recorder.Intent{Shard: shard, Epoch: 2, Key: "l"}).Applied)
+	require.True(t, apply(7, recorder.Outcome{Key: "m", End: recorder.RequestNotRun}).Applied)
+	apply(8, recorder.Claim{Shard: shard, Epoch: 3, Holder: descriptor.HostID{Name: "e1"}})
+	require.False(t, apply(9, recorder.Intent{Shard: shard, Epoch: 3, Key: "m"}).Applied, "a closed key is never dispatched")
+}
+
+type change struct {
+	value    string
+	replaces int64
+}
+
+// register is the model of one key: a change takes effect where it replaces the version.
+var register = porcupine.Model{
+	Init: func() any { return int64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		version := state.(int64)
+		wins := input.(change).replaces == version
+		if wins {
+			version++
+		}
+		return output.(bool) == wins, version
+	},
+}
+
+// TestRacingOperatorsSeeOneOrder appends the changes of racing operators in a random order,
+// some of them twice, and checks that what each was told fits one order.
+func TestRacingOperatorsSeeOneOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var state State
+		var history []porcupine.Operation
+		offset := int64(0)
+		operators := rapid.IntRange(2, 6).Draw(t, "operators")
+		for client := range operators {
+			version := state.Config["k"].Version
+			c := change{value: fmt.Sprint(client), replaces: rapid.Int64Range(0, version).Draw(t, "replaces")}
+			verdict := state.Apply(offset, set("k", c.value, c.replaces))
+			begun := rapid.Int64Range(0, offset).Draw(t, "begun")
+			history = append(history, porcupine.Operation{
+				ClientId: client, Input: c, Output: verdict.Applied, Call: begun, Return: offset + 1,
+			})
+			offset++
+			after := state.Config["k"]
+			if rapid.Bool().Draw(t, "twice") {
+				state.Apply(offset, set("k", c.value, c.replaces))
+				offset++
+				require.Equal(t, after, state.Config["k"], "a repeated append changes nothing")
+			}
+		}
+		require.True(t, porcupine.CheckOperations(register, history))
+	})
+}
--- a/internal/chart/interpreter/chart.go
+++ b/internal/chart/interpreter/chart.go
@@ -125,6 +125,16 @@
 	return found
 }
 
+// Try moves to the state that the event leads to. It reports false, and stays, where the
+// present state does not list the event.
+func (m *Machine) Try(event Event) bool {
+	next, found := m.chart.next[step{m.state, event}]
+	if found {
+		m.state = next
+	}
+	return found
+}
+
 // Fire moves to the state that the event leads to. It returns an error, and stays,
 // where the present state does not list the event.
 func (m *Machine) Fire(event Event) error {
--- a/internal/core/admitter/admitter.go
+++ b/internal/core/admitter/admitter.go
@@ -25,7 +25,9 @@
 	"lentilrock.example/internal/cell/recorder"
 	"lentilrock.example/internal/chart/interpreter"
 	"lentilrock.example/internal/container/prioritizer"
+	"lentilrock.example/internal/core/budgeter"
 	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/core/slotter"
 )
 
 // States of a request.
@@ -89,11 +91,8 @@
 )
 
 const (
-	retryEarned = 0.1
 	// askInterval is the time between two questions about the same matter.
 	askInterval = 500 * time.Millisecond
-	// downTime is how long an upstream that could not be reached is left alone.
-	downTime = time.Second
 	// retryAfter is when a refused caller may try again.
 	retryAfter = time.Second
 )
@@ -163,23 +162,16 @@
 	result []byte
 }
 
-// fire runs the chart; an event that the state does not list changes nothing.
-func (r *request) fire(event interpreter.Event) {
-	if r.machine.Can(event) {
-		// Can was asked just before, so there is no error to handle.
-		_ = r.machine.Fire(event)
-	}
-}
+func (r *request) fire(event interpreter.Event) { r.machine.Try(event) }
 
 func (r *request) is(states ...interpreter.State) bool {
 	return r.machine.Is(states...)
 }
 
 type service struct {
-	queue  *prioritizer.Queue[*request]
-	queued int
-	tokens float64
-	names  []string
+	queue   *prioritizer.Queue[*request]
+	queued  int
+	retries budgeter.Budget
 }
 
 // Admitter holds the requests and upstreams of the shards of a host.
@@ -190,11 +182,11 @@
 	authority Authority
 	log       Requests
 
-	upstreams map[string]*upstream
-	services  map[string]*service
-	requests  map[string]*request
-	sequence  uint64
-	counts    Counts
+	slots    slotter.Slots
+	services map[string]*service
+	requests map[string]*request
+	sequence uint64
+	counts   Counts
 }
 
 // Counts are totals since the start of the process.
@@ -214,9 +206,8 @@
 	options = options.withDefaults()
 	return &Admitter{
 		options: options, self: self, layout: layout, authority: authority, log: log,
-		upstreams: make(map[string]*upstream),
-		services:  make(map[string]*service),
-		requests:  make(map[string]*request),
+		services: make(map[string]*service),
+		requests: make(map[string]*request),
 	}
 }
 
@@ -247,7 +238,7 @@
 func (a *Admitter) service(name string) *service {
 	s, found := a.services[name]
 	if !found {
-		s = &service{tokens: a.options.RetryTokens, queue: prioritizer.New(goesBefore)}
+		s = &service{retries: budgeter.New(a.options.RetryTokens), queue: prioritizer.New(goesBefore)}
 		a.services[name] = s
 	}
 	return s
@@ -346,7 +337,7 @@
 // admit queues a new request, or refuses it early.
 func (a *Admitter) admit(now time.Time, shard descriptor.ShardID, e signaller.RequestArrived, out *signaller.Outbox) {
 	s := a.service(e.Service)
-	if len(s.names) == 0 {
+	if len(a.slots.Names(e.Service)) == 0 {
 		a.refuse(e.Ref, e.Key, "no upstream serves "+e.Service+" in "+shard.DataCentre, out)
 		return
 	}
--- a/internal/core/admitter/dispatch.go
+++ b/internal/core/admitter/dispatch.go
@@ -11,77 +11,21 @@
 )
 
 // SetUpstreams takes in the upstreams of the data centre.
-func (a *Admitter) SetUpstreams(hosts []descriptor.Host) {
-	for _, s := range a.services {
-		s.names = nil
-	}
-	listed := make(map[string]bool, len(hosts))
-	for _, host := range hosts {
-		listed[host.Name] = true
-		a.putUpstream(host)
-		s := a.service(host.Service)
-		s.names = append(s.names, host.Name)
-	}
-	for name, u := range a.upstreams {
-		if listed[name] {
-			continue
-		}
-		u.leaving = true
-		if u.busy == 0 {
-			delete(a.upstreams, name)
-		}
-	}
-	for _, s := range a.services {
-		slices.Sort(s.names)
-	}
-}
-
-func (a *Admitter) putUpstream(host descriptor.Host) {
-	u, found := a.upstreams[host.Name]
-	if !found {
-		a.upstreams[host.Name] = &upstream{host: host, leaving: host.State == descriptor.ListLeaving}
-		return
-	}
-	// A lagging list must not bring back an upstream that said itself that it leaves,
-	// unless it is another life of it.
-	isNewLife := u.host.Incarnation != host.Incarnation
-	u.leaving = host.State == descriptor.ListLeaving || (u.leaving && !isNewLife)
-	u.host = host
-}
+func (a *Admitter) SetUpstreams(hosts []descriptor.Host) { a.slots.Set(hosts) }
 
 // ForgetLoads makes the admitter ask each upstream for its load before it is used, as
 // after taking a shard over.
-func (a *Admitter) ForgetLoads() {
-	for _, u := range a.upstreams {
-		u.known = false
-		u.nextAsk = time.Time{}
-	}
-}
+func (a *Admitter) ForgetLoads() { a.slots.ForgetLoads() }
 
 // LoadAnswered takes in how much of an upstream is in use.
 func (a *Admitter) LoadAnswered(now time.Time, e signaller.LoadAnswered, out *signaller.Outbox) {
-	u, found := a.upstreams[e.Upstream]
-	if !found {
-		return
-	}
 	if e.Failed {
-		u.downUntil = now.Add(downTime)
+		a.slots.MarkDown(now, e.Upstream)
 		return
 	}
-	if !u.known {
-		own := u.busy - u.ghosts
-		u.ghosts = max(e.Load.Busy-own, 0)
-		u.busy = own + u.ghosts
-		u.known = true
-	} else if u.ghosts > 0 {
-		// What this host has in flight is counted apart; the rest of the load is what
-		// former dispatches still use.
-		own := u.busy - u.ghosts
-		ghosts := min(u.ghosts, max(e.Load.Busy-own, 0))
-		u.busy -= u.ghosts - ghosts
-		u.ghosts = ghosts
+	if name, found := a.slots.Loaded(e.Upstream, e.Load.Busy); found {
+		a.serve(now, a.service(name), out)
 	}
-	a.serve(now, a.service(u.host.Service), out)
 }
 
 // serve gives free slots to the requests of a service that wait.
@@ -96,45 +40,35 @@
 			s.queued--
 			continue
 		}
-		u := a.choose(now, s, r)
-		if u == nil || !a.authority.MayDispatch(now, r.shard) {
+		upstream, hasSlot := a.choose(now, r)
+		if !hasSlot || !a.authority.MayDispatch(now, r.shard) {
 			return
 		}
 		s.queue.Pop()
 		s.queued--
-		a.begin(now, r, u, out)
+		a.begin(now, r, upstream.Name, out)
 	}
 }
 
-// choose returns the least busy upstream with a free slot that was not tried yet.
-func (a *Admitter) choose(now time.Time, s *service, r *request) *upstream {
-	names := s.names
+// choose returns an upstream with a free slot for a request.
+func (a *Admitter) choose(now time.Time, r *request) (descriptor.Host, bool) {
+	names := a.slots.Names(r.service)
 	if len(r.candidates) > 0 {
 		names = r.candidates
 	}
-	var best *upstream
-	for _, name := range names {
-		u, found := a.upstreams[name]
-		if !found || !u.hasSlot(now) || slices.Contains(r.tried, name) {
-			continue
-		}
-		if best == nil || u.busy < best.busy {
-			best = u
-		}
-	}
-	return best
+	return a.slots.Choose(now, names, r.tried)
 }
 
 // begin takes a slot and dispatches, after an intent where the request needs one.
-func (a *Admitter) begin(now time.Time, r *request, u *upstream, out *signaller.Outbox) {
-	u.busy++
-	r.upstream = u.host.Name
+func (a *Admitter) begin(now time.Time, r *request, upstream string, out *signaller.Outbox) {
+	a.slots.Take(upstream)
+	r.upstream = upstream
 	if r.repeatable || r.logged || r.held {
 		r.fire(eventSlotDirect)
 		a.dispatch(r, out)
 		return
 	}
-	r.candidates = a.candidates(now, u, r)
+	r.candidates = a.candidates(now, r)
 	r.fire(eventSlotTaken)
 	if a.authority.CanAppend() {
 		out.Add(a.appendIntent(now, r))
@@ -144,14 +78,13 @@
 }
 
 // candidates lists where a request may be sent: the chosen upstream first.
-func (a *Admitter) candidates(now time.Time, first *upstream, r *request) []string {
-	list := []string{first.host.Name}
-	for _, name := range a.service(r.service).names {
+func (a *Admitter) candidates(now time.Time, r *request) []string {
+	list := []string{r.upstream}
+	for _, name := range a.slots.Names(r.service) {
 		if len(list) >= a.options.Candidates {
 			break
 		}
-		u := a.upstreams[name]
-		if name != first.host.Name && !u.leaving && !now.Before(u.downUntil) {
+		if name != r.upstream && a.slots.IsUp(now, name) {
 			list = append(list, name)
 		}
 	}
@@ -177,7 +110,7 @@
 func (a *Admitter) holdOut(r *request, out *signaller.Outbox) {
 	if a.options.RefuseInOutage || !a.authority.HasHeir(r.shard) {
 		// No record of this request was ever sent, so it has not run.
-		a.giveSlot(r.upstream)
+		a.slots.Give(r.upstream)
 		a.answer(r, signaller.AnswerRefused, nil, "the platform's log is down", out)
 		a.forget(r)
 		return
@@ -229,9 +162,9 @@
 	r.attempt++
 	r.inFlight = true
 	r.tried = append(r.tried, r.upstream)
+	host, _ := a.slots.Host(r.upstream)
 	out.Add(signaller.Dispatch{
-		Ref: r.bodyRef, Key: r.key, Attempt: r.attempt,
-		Upstream: a.upstreams[r.upstream].host, Deadline: r.deadline,
+		Ref: r.bodyRef, Key: r.key, Attempt: r.attempt, Upstream: host, Deadline: r.deadline,
 	})
 }
 
@@ -250,7 +183,7 @@
 		r.logged = true
 		return
 	}
-	a.giveSlot(r.upstream)
+	a.slots.Give(r.upstream)
 	r.fire(eventIntentVoid)
 	a.answer(r, signaller.AnswerNotKnownYet, nil, reason, out)
 	a.forget(r)
@@ -271,7 +204,7 @@
 
 // noDispatch closes a request that was recorded and will not be sent.
 func (a *Admitter) noDispatch(now time.Time, r *request, reason string, out *signaller.Outbox) {
-	a.giveSlot(r.upstream)
+	a.slots.Give(r.upstream)
 	r.fire(eventNoneLeft)
 	a.closeNotRun(now, r, reason, out)
 }
@@ -282,17 +215,3 @@
 		a.holdOut(r, out)
 	}
 }
-
-func (a *Admitter) giveSlot(name string) {
-	if u, found := a.upstreams[name]; found && u.busy > 0 {
-		u.busy--
-	}
-}
-
-// loseSlot keeps a slot taken until the upstream says that it is free.
-func (a *Admitter) loseSlot(now time.Time, name string) {
-	if u, found := a.upstreams[name]; found {
-		u.ghosts++
-		u.nextAsk = now.Add(askInterval)
-	}
-}
--- a/internal/core/admitter/settle.go
+++ b/internal/core/admitter/settle.go
@@ -20,19 +20,19 @@
 	r.inFlight = false
 	switch e.Result {
 	case signaller.DispatchDone:
-		a.giveSlot(e.Upstream)
-		a.earnRetry(r.service)
+		a.slots.Give(e.Upstream)
+		a.service(r.service).retries.Earn()
 		a.finish(now, r, e.Answer, out)
 	case signaller.DispatchLeaving:
-		a.giveSlot(e.Upstream)
-		a.markLeaving(e.Upstream)
+		a.slots.Give(e.Upstream)
+		a.slots.MarkLeaving(e.Upstream)
 		a.again(now, r, e.Reason, out)
 	case signaller.DispatchNotSent:
-		a.giveSlot(e.Upstream)
-		a.markDown(now, e.Upstream)
+		a.slots.Give(e.Upstream)
+		a.slots.MarkDown(now, e.Upstream)
 		a.again(now, r, e.Reason, out)
 	case signaller.DispatchUnknown:
-		a.loseSlot(now, e.Upstream)
+		a.slots.Lose(now, e.Upstream)
 		a.lostReply(now, r, e.Reason, out)
 	}
 	a.serve(now, a.service(r.service), out)
@@ -41,24 +41,12 @@
 // endStale gives back the slot of a dispatch whose request was closed meanwhile.
 func (a *Admitter) endStale(now time.Time, e signaller.DispatchEnded, out *signaller.Outbox) {
 	if e.Result == signaller.DispatchUnknown {
-		a.loseSlot(now, e.Upstream)
+		a.slots.Lose(now, e.Upstream)
 		return
 	}
-	a.giveSlot(e.Upstream)
-	if u, found := a.upstreams[e.Upstream]; found {
-		a.serve(now, a.service(u.host.Service), out)
-	}
-}
-
-func (a *Admitter) markLeaving(name string) {
-	if u, found := a.upstreams[name]; found {
-		u.leaving = true
-	}
-}
-
-func (a *Admitter) markDown(now time.Time, name string) {
-	if u, found := a.upstreams[name]; found {
-		u.downUntil = now.Add(downTime)
+	a.slots.Give(e.Upstream)
+	if host, found := a.slots.Host(e.Upstream); found {
+		a.serve(now, a.service(host.Service), out)
 	}
 }
 
@@ -85,7 +73,8 @@
 // again sends a request that certainly did not run to another upstream, or gives it up.
 func (a *Admitter) again(now time.Time, r *request, reason string, out *signaller.Outbox) {
 	canRetry := r.attempt < a.options.MaxAttempts && r.deadline.After(now) && a.hasUntried(r)
-	if canRetry && a.spendRetry(r.service) {
+	if canRetry && a.service(r.service).retries.Spend() {
+		a.counts.Retried++
 		r.fire(eventNotSent)
 		a.enqueue(a.service(r.service), r)
 		return
@@ -106,26 +95,11 @@
 func (a *Admitter) hasUntried(r *request) bool {
 	names := r.candidates
 	if len(names) == 0 {
-		names = a.service(r.service).names
+		names = a.slots.Names(r.service)
 	}
 	return slices.ContainsFunc(names, func(name string) bool { return !slices.Contains(r.tried, name) })
 }
 
-func (a *Admitter) spendRetry(name string) bool {
-	s := a.service(name)
-	if s.tokens < 1 {
-		return false
-	}
-	s.tokens--
-	a.counts.Retried++
-	return true
-}
-
-func (a *Admitter) earnRetry(name string) {
-	s := a.service(name)
-	s.tokens = min(s.tokens+retryEarned, a.options.RetryTokens)
-}
-
 // lostReply takes in that nobody knows whether a dispatch ran.
 func (a *Admitter) lostReply(now time.Time, r *request, reason string, out *signaller.Outbox) {
 	if r.repeatable {
@@ -144,8 +118,8 @@
 func (a *Admitter) ask(now time.Time, r *request, out *signaller.Outbox) {
 	r.nextAsk = now.Add(askInterval)
 	for _, name := range r.candidates {
-		if u, found := a.upstreams[name]; found {
-			out.Add(signaller.AskOutcome{Key: r.key, Upstream: u.host})
+		if host, found := a.slots.Host(name); found {
+			out.Add(signaller.AskOutcome{Key: r.key, Upstream: host})
 		}
 	}
 	if !r.dispatcherEnded {
@@ -239,13 +213,8 @@
 	for _, key := range sorter.Keys(a.requests) {
 		a.tickRequest(now, a.requests[key], out)
 	}
-	for _, name := range sorter.Keys(a.upstreams) {
-		u := a.upstreams[name]
-		mustAsk := !u.known || u.ghosts > 0
-		if mustAsk && !now.Before(u.nextAsk) {
-			u.nextAsk = now.Add(askInterval)
-			out.Add(signaller.AskLoad{Upstream: u.host})
-		}
+	for _, host := range a.slots.Due(now) {
+		out.Add(signaller.AskLoad{Upstream: host})
 	}
 	for _, name := range sorter.Keys(a.services) {
 		a.serve(now, a.services[name], out)
@@ -289,7 +258,7 @@
 		}
 		a.answer(r, state, nil, "the shard has another holder now", out)
 		if !r.is(stateQueued, stateSettling, stateClosing, stateClosed) {
-			a.giveSlot(r.upstream)
+			a.slots.Give(r.upstream)
 		}
 		a.forget(r)
 	}
--- a/internal/core/admitter/view.go
+++ b/internal/core/admitter/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/slotter"
 )
 
 // RequestView is an open request as operators see it.
@@ -30,30 +31,5 @@
 	return views
 }
 
-// UpstreamView is an upstream as operators see it.
-type UpstreamView struct {
-	Name    string
-	Service string
-	State   string
-	Busy    int
-	Slots   int
-}
-
 // Upstreams lists the upstreams by name.
-func (a *Admitter) Upstreams() []UpstreamView {
-	views := make([]UpstreamView, 0, len(a.upstreams))
-	for _, name := range sorter.Keys(a.upstreams) {
-		u := a.upstreams[name]
-		state := "open"
-		switch {
-		case u.leaving:
-			state = "leaving"
-		case !u.known:
-			state = "unknown"
-		}
-		views = append(views, UpstreamView{
-			Name: name, Service: u.host.Service, State: state, Busy: u.busy, Slots: u.limit(),
-		})
-	}
-	return views
-}
+func (a *Admitter) Upstreams() []slotter.View { return a.slots.Views() }
--- a/internal/core/claimer/claimer.go
+++ b/internal/core/claimer/claimer.go
@@ -229,13 +229,7 @@
 	}
 }
 
-// fire runs the chart; an event that the state does not list changes nothing.
-func (c *Claimer) fire(event interpreter.Event) {
-	if c.machine.Can(event) {
-		// Can was asked just before, so there is no error to handle.
-		_ = c.machine.Fire(event)
-	}
-}
+func (c *Claimer) fire(event interpreter.Event) { c.machine.Try(event) }
 
 // HeirWord takes in the heir's word, asked for at askedAt, that it has no claim on the
 // epoch made or under way. It reports whether the window moved.
--- a/internal/core/tracker/task.go
+++ b/internal/core/tracker/task.go
@@ -71,11 +71,7 @@
 	return messages.AttemptID{Task: t.id, Attempt: t.attempt}
 }
 
-// fire runs the chart; an event that the state does not list changes nothing. It reports
-// whether the state listed the event.
-func (t *task) fire(event interpreter.Event) bool {
-	return t.machine.Can(event) && t.machine.Fire(event) == nil
-}
+func (t *task) fire(event interpreter.Event) bool { return t.machine.Try(event) }
 
 const (
 	firstBackoff   = 200 * time.Millisecond
--- a/internal/node/runner/peer.go
+++ b/internal/node/runner/peer.go
@@ -53,7 +53,7 @@
 func (r *Runner) handlePeers() {
 	m := r.options.Messenger
 	messenger.Handle(m, callGreeting, func(_ context.Context, _ messenger.Hello, g Greeting) (Greeting, error) {
-		r.offer(signaller.PeerHeard{Host: g.Host, DataCentre: g.DataCentre})
+		r.Offer(signaller.PeerHeard{Host: g.Host, DataCentre: g.DataCentre})
 		return r.greeting(), nil
 	})
 	messenger.Handle(m, callHeir, func(ctx context.Context, _ messenger.Hello, q HeirQuestion) (Word, error) {
@@ -136,7 +136,7 @@
 	if err != nil {
 		return
 	}
-	r.offer(signaller.PeerHeard{Host: reply.Host, DataCentre: reply.DataCentre})
+	r.Offer(signaller.PeerHeard{Host: reply.Host, DataCentre: reply.DataCentre})
 }
 
 func (r *Runner) askHeir(ctx context.Context, a signaller.AskHeir) {
@@ -159,7 +159,7 @@
 	for _, intent := range a.Held {
 		answer.HeldKeys = append(answer.HeldKeys, intent.Key)
 	}
-	r.put(ctx, answer)
+	r.Put(ctx, answer)
 }
 
 func (r *Runner) askDispatcher(ctx context.Context, a signaller.AskDispatcher) {
@@ -174,7 +174,7 @@
 	if err != nil {
 		return
 	}
-	r.put(ctx, signaller.DispatcherAnswered{Key: a.Key, Host: a.Host, Ended: word.OK})
+	r.Put(ctx, signaller.DispatcherAnswered{Key: a.Key, Host: a.Host, Ended: word.OK})
 }
 
 // EntriesOf lists the entry hosts of a data centre but this one, by name.
--- a/internal/node/runner/propose.go
+++ b/internal/node/runner/propose.go
@@ -154,7 +154,7 @@
 		r.mu.Unlock()
 	}()
 	record := p.record(r.options.Clock.Now())
-	if !r.put(ctx, signaller.Proposed{Stream: stream, Records: []recorder.Record{record}}) {
+	if !r.Put(ctx, signaller.Proposed{Stream: stream, Records: []recorder.Record{record}}) {
 		return Outcome{ID: p.ID, State: OutcomeRefused, Reason: "the host is stopping"}
 	}
 	timer := r.options.Clock.NewTimer(proposeTimeout)
--- a/internal/node/runner/request.go
+++ b/internal/node/runner/request.go
@@ -179,7 +179,7 @@
 	if !found {
 		ended.Result = signaller.DispatchNotSent
 		ended.Reason = "the body is gone"
-		r.put(ctx, ended)
+		r.Put(ctx, ended)
 		return
 	}
 	calling, cancel := context.WithDeadline(ctx, a.Deadline)
@@ -190,7 +190,7 @@
 	if err != nil {
 		ended.Reason = err.Error()
 	}
-	r.put(ctx, ended)
+	r.Put(ctx, ended)
 }
 
 func resultOf(err error) signaller.DispatchResult {
@@ -221,7 +221,7 @@
 	asking, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	outcome, err := r.options.Upstreams.Outcome(asking, a.Upstream, a.Key)
-	r.put(ctx, signaller.OutcomeAnswered{
+	r.Put(ctx, signaller.OutcomeAnswered{
 		Key: a.Key, Upstream: a.Upstream.Name, Failed: err != nil, Outcome: outcome,
 	})
 }
@@ -230,5 +230,5 @@
 	asking, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	load, err := r.options.Upstreams.Load(asking, a.Upstream)
-	r.put(ctx, signaller.LoadAnswered{Upstream: a.Upstream.Name, Failed: err != nil, Load: load})
+	r.Put(ctx, signaller.LoadAnswered{Upstream: a.Upstream.Name, Failed: err != nil, Load: load})
 }
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -21,6 +21,9 @@
 	"lentilrock.example/internal/container/buffer"
 	"lentilrock.example/internal/core/decider"
 	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/node/appender"
+	"lentilrock.example/internal/node/follower"
+	"lentilrock.example/internal/node/linker"
 	"lentilrock.example/internal/peer/messenger"
 	"lentilrock.example/internal/platform/connector"
 	"lentilrock.example/internal/settings/checker"
@@ -59,10 +62,13 @@
 	self    descriptor.HostID
 	core    *decider.Decider
 	inputs  *buffer.Ring[input]
-	appends *appender
-	links   *linker
+	appends *appender.Appender
+	links   *linker.Linker
+	reads   *follower.Follower
 	nextRef atomic.Uint64
 	routes  atomic.Pointer[Routes]
+	events  atomic.Uint64
+	dropped atomic.Uint64
 
 	mu sync.Mutex
 	// calls are the callers that wait for an answer, by ref.
@@ -70,8 +76,7 @@
 	// settles are the proposals that wait for their offset, by record.
 	settles map[string]chan signaller.Settled
 	// words are the peers' questions that wait for the core, by ref.
-	words  map[uint64]chan bool
-	counts Counts
+	words map[uint64]chan bool
 }
 
 // Counts are totals since the start.
@@ -82,7 +87,6 @@
 	Heartbeats    uint64
 	Appends       uint64
 	Reads         uint64
-	PlatformBytes uint64
 }
 
 // New returns a runner that does nothing yet.
@@ -100,8 +104,14 @@
 		settles: make(map[string]chan signaller.Settled),
 		words:   make(map[uint64]chan bool),
 	}
-	r.appends = newAppender(r)
-	r.links = newLinker(r)
+	r.appends = appender.New(appender.Options{
+		Log: options.Log, Clock: options.Clock, Logger: options.Logger, Core: r, Self: self,
+	})
+	r.links = linker.New(linker.Options{Workers: options.Workers, Clock: options.Clock, Core: r})
+	r.reads = follower.New(follower.Options{
+		Log: options.Log, List: options.List, Clock: options.Clock, Logger: options.Logger, Core: r,
+		DataCentre: options.Settings.DataCentre, Listed: r.updatePeers,
+	})
 	r.routes.Store(&Routes{})
 	r.handlePeers()
 	return r
@@ -113,8 +123,8 @@
 // Run runs all duties until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	duties := []func(context.Context){
-		r.decide, r.tick, r.followConfig, r.followLocal, r.list, r.greetPeers,
-		r.appends.run, r.links.run,
+		r.decide, r.tick, r.reads.FollowConfig, r.reads.FollowLocal, r.reads.List, r.greetPeers,
+		r.appends.Run, r.links.Run,
 	}
 	var group sync.WaitGroup
 	for _, duty := range duties {
@@ -123,30 +133,27 @@
 	group.Wait()
 }
 
-// offer hands an event to the core and drops it where the ring is full; for events that
-// come again by themselves.
-func (r *Runner) offer(event signaller.Event) {
-	if !r.inputs.Offer(input{event: event}) {
-		r.count(func(c *Counts) { c.DroppedEvents++ })
+// Offer hands an event to the core. It reports false, and drops the event, where there is
+// no room.
+func (r *Runner) Offer(event signaller.Event) bool {
+	ok := r.inputs.Offer(input{event: event})
+	if !ok {
+		r.dropped.Add(1)
 	}
+	return ok
 }
 
-// put hands an event to the core, waiting for room; for events that must not be lost.
-func (r *Runner) put(ctx context.Context, event signaller.Event) bool {
+// Put hands an event to the core, waiting for room; for events that must not be lost.
+func (r *Runner) Put(ctx context.Context, event signaller.Event) bool {
 	return r.inputs.Put(ctx, input{event: event})
 }
 
-func (r *Runner) count(change func(*Counts)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	change(&r.counts)
-}
-
 // Counts returns the totals.
 func (r *Runner) Counts() Counts {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.counts
+	return Counts{
+		Events: r.events.Load(), DroppedEvents: r.dropped.Load(), Starts: r.links.Starts(),
+		Heartbeats: r.links.Heartbeats(), Appends: r.appends.Appends(), Reads: r.reads.Reads(),
+	}
 }
 
 // Look runs a function on the core between two events. It reports false where ctx ended
@@ -188,7 +195,7 @@
 		for _, action := range out.Take() {
 			r.carryOut(ctx, action)
 		}
-		r.count(func(c *Counts) { c.Events++ })
+		r.events.Add(1)
 		r.publishRoutes(in.event)
 	}
 }
@@ -199,7 +206,7 @@
 	for {
 		select {
 		case <-ticker.Chan():
-			r.offer(signaller.Tick{})
+			r.Offer(signaller.Tick{})
 		case <-ctx.Done():
 			return
 		}
@@ -216,7 +223,7 @@
 	case signaller.AnswerHeir:
 		r.answerWord(a.Ref, a.OK)
 	case signaller.Append:
-		r.appends.add(ctx, a)
+		r.appends.Add(ctx, a)
 	case signaller.AskDispatcher:
 		go r.askDispatcher(ctx, a)
 	case signaller.AskHeir:
@@ -230,9 +237,9 @@
 	case signaller.Report:
 		r.report(a)
 	case signaller.SaveSnapshot:
-		r.appends.save(ctx, a)
+		r.appends.Save(ctx, a)
 	case signaller.SendHeartbeat, signaller.SendStart, signaller.SendStop, signaller.SendThrottle:
-		r.links.send(ctx, a)
+		r.links.Send(a)
 	case signaller.Settled:
 		r.settled(a)
 	}
@@ -278,7 +285,7 @@
 		delete(r.words, ref)
 		r.mu.Unlock()
 	}()
-	if !r.put(ctx, event(ref)) {
+	if !r.Put(ctx, event(ref)) {
 		return false
 	}
 	select {
@@ -291,5 +298,12 @@
 
 // Leave tells the core to finish what it has and to release its shards.
 func (r *Runner) Leave(ctx context.Context) {
-	r.put(ctx, signaller.Left{})
+	r.Put(ctx, signaller.Left{})
+}
+
+func (r *Runner) pause(ctx context.Context, wait time.Duration) {
+	select {
+	case <-r.options.Clock.After(wait):
+	case <-ctx.Done():
+	}
 }
--- a/internal/node/starter/cell_test.go
+++ b/internal/node/starter/cell_test.go
@@ -300,10 +300,17 @@
 	c.net.setCut(func(from, to string) bool { return from == ip || to == ip || old(from, to) })
 	e.node.kill()
 	e.stop()
-	_ = <-e.done
+	c.logEnd(e, <-e.done)
 	delete(c.entries, e.name)
 }
 
+// logEnd notes how a host that was killed ended.
+func (c *cell) logEnd(e *entry, err error) {
+	if err != nil {
+		c.t.Logf("%s ended: %v", e.name, err)
+	}
+}
+
 // heal ends all cuts.
 func (c *cell) heal() {
 	c.net.setCut(func(string, string) bool { return false })
@@ -322,7 +329,7 @@
 	for _, e := range c.entries {
 		e.node.kill()
 		e.stop()
-		_ = <-e.done
+		c.logEnd(e, <-e.done)
 	}
 	for _, s := range c.servers {
 		_ = s.Close()
--- a/internal/node/starter/fault_test.go
+++ b/internal/node/starter/fault_test.go
@@ -464,3 +464,144 @@
 		c.checkWorkers()
 	})
 }
+
+func TestUpstreamsGetNoMoreThanTheirSlots(t *testing.T) {
+	inCell(t, brno, 2, 2, func(c *cell) {
+		holder := setUp(c, 3)
+		for _, u := range c.upstreams {
+			u.SetFault(messages.UpstreamFault{Delay: 300 * time.Millisecond})
+		}
+		const callers = 60
+		replies := make(chan reply, callers)
+		for i := range callers {
+			go func() { replies <- c.order(holder, fmt.Sprintf("order-%d", i), "box", i%3 == 0, 20*time.Second) }()
+			if i == callers/2 {
+				time.Sleep(100 * time.Millisecond)
+				c.kill(holder)
+				holder = c.waitHeld(0, 20*time.Second)
+			}
+		}
+		for range callers {
+			<-replies
+		}
+		for name, u := range c.upstreams {
+			require.LessOrEqualf(t, u.Runs().PeakBusy, 8, "%s has 8 slots", name)
+		}
+	})
+}
+
+func TestNotRunMeansNotRun(t *testing.T) {
+	inCell(t, brno, 2, 1, func(c *cell) {
+		holder := setUp(c, 2)
+		var told []reply
+		for i := range 20 {
+			// The only upstream drops what it gets, or is slow to begin it.
+			c.upstreams["morava-brno-u0"].SetFault(messages.UpstreamFault{
+				Down: i%2 == 0, DropReplies: i % 3, Begin: time.Duration(i%4) * 500 * time.Millisecond,
+			})
+			go func() {
+				time.Sleep(time.Duration(i%5) * 600 * time.Millisecond)
+				c.upstreams["morava-brno-u0"].SetFault(messages.UpstreamFault{})
+			}()
+			got := c.order(holder, fmt.Sprintf("order-%d", i), "box", true, 8*time.Second)
+			told = append(told, got)
+			time.Sleep(4 * time.Second)
+		}
+		time.Sleep(30 * time.Second)
+		kinds := make(map[string]int)
+		for i, got := range told {
+			kinds[got.state]++
+			checkOnce(t, c, fmt.Sprintf("order-%d", i), got)
+		}
+		require.NotZero(t, kinds["not_run"], "the test brings the case about: %v", kinds)
+		require.NotZero(t, kinds["done"], "%v", kinds)
+	})
+}
+
+func TestBadInputChangesNothing(t *testing.T) {
+	inCell(t, brno, 2, 1, func(c *cell) {
+		holder := setUp(c, 2)
+		before := c.log.Appends()
+		tests := []struct{ statement, want string }{
+			{"shwo jobs", "did you mean show?"},
+			{"show jbos", "did you mean jobs?"},
+			{"show jobs where stat = done", "did you mean state?"},
+			{"submit batch j team svacinka cores -1 memory 1Gi", "milli_cores is -1000, want 0 or more"},
+			{"submit batch j team svacinka cores 1 memory 1Gi tasks 0", "tasks is 0, want 1 to"},
+			{"submit batch j team nobody cores 1 memory 1Gi", `team "nobody" is unknown`},
+			{"submit batch j team svacinka cores 1 memory 1Zi", "read \"1Zi\" as bytes"},
+			{"submit service j team svacinka cores 1 memory 1Gi one_shot", "one_shot is set"},
+			{"set quota.svacinka = 140", "percentage from 0 to 100"},
+			{"set colour = red", `key "colour" is unknown`},
+			{"cancel where state = running", "no open job matches"},
+		}
+		for _, test := range tests {
+			reply := c.do(holder, test.statement)
+			require.True(t, reply.Failed(), test.statement)
+			text := reply.Error
+			for _, o := range reply.Outcomes {
+				text += o.Reason
+			}
+			require.Contains(t, text, test.want, test.statement)
+		}
+		require.Equal(t, before, c.log.Appends(), "nothing was written")
+		got := c.order(holder, "order-1", "box", true, -time.Second)
+		require.Contains(t, got.body, "header Request-Timeout is")
+		got = c.order(holder, "", "box", true, time.Second)
+		require.Contains(t, got.body, "Idempotency-Key is missing")
+		got = c.order(holder, "order 1", "box", true, time.Second)
+		require.Contains(t, got.body, "has a character outside")
+		got = c.order(holder, "order-1", string(make([]byte, 1<<20+10)), true, time.Second)
+		require.Contains(t, got.body, "body is over")
+	})
+}
+
+func TestAJobIsDrainedWithoutFallingBelowItsMinimum(t *testing.T) {
+	inCell(t, brno, 4, 1, func(c *cell) {
+		holder := setUp(c, 2)
+		c.mustDo(holder, "submit service dispatch team svacinka tasks 4 cores 8 memory 1Gi min_running 3")
+		c.wait("the service to run", 10*time.Second, func() bool { return c.running("dispatch") == 4 })
+		for name := range c.workers {
+			if len(c.workers[name].Runs().Runs) > 0 {
+				c.mustDo(holder, "drain worker "+name)
+				lowest := 4
+				c.wait("the worker to be empty", time.Minute, func() bool {
+					lowest = min(lowest, c.running("dispatch"))
+					left := 0
+					for _, run := range c.workers[name].Runs().Runs {
+						if run.State == messages.TaskRunning {
+							left++
+						}
+					}
+					return left == 0 && c.running("dispatch") == 4
+				})
+				require.GreaterOrEqual(t, lowest, 3)
+				break
+			}
+		}
+		c.checkWorkers()
+	})
+}
+
+func TestOneShotTasksRunAtMostOnce(t *testing.T) {
+	inCell(t, brno, 4, 1, func(c *cell) {
+		holder := setUp(c, 3)
+		c.mustDo(holder, "submit batch bills team svacinka tasks 12 cores 4 memory 1Gi run_time 4s one_shot")
+		time.Sleep(1200 * time.Millisecond)
+		c.kill(holder)
+		next := c.waitHeld(0, 20*time.Second)
+		c.workers["morava-brno-w1"].SetFault(messages.WorkerFault{Down: true})
+		c.wait("the job to be over", 3*time.Minute, func() bool {
+			return len(c.do(next, "show jobs where job = bills and state != running and state != waiting").Table.Rows) == 1
+		})
+		runs := make(map[string]int)
+		for _, w := range c.workers {
+			for _, run := range w.Runs().Runs {
+				runs[run.Task.String()]++
+			}
+		}
+		for task, n := range runs {
+			require.Equal(t, 1, n, task)
+		}
+	})
+}
--- a/internal/node/starter/starter.go
+++ b/internal/node/starter/starter.go
@@ -70,6 +70,7 @@
 	socket   net.Listener
 	server   *http.Server
 	metrics  *collector.Collector
+	meter    connector.Meter
 	// metricsEnd ends the reports of the metrics.
 	metricsEnd io.Closer
 }
@@ -132,7 +133,7 @@
 func (n *Node) connect() {
 	s := n.options.Settings
 	if n.options.Client == nil {
-		n.options.Client = connector.NewHTTP(s.Listen.Addr())
+		n.options.Client = connector.NewHTTP(s.Listen.Addr(), &n.meter)
 	}
 	client := n.options.Client
 	if n.options.Log == nil {
@@ -165,6 +166,7 @@
 		"appends": counts.Appends, "events": counts.Events, "events_dropped": counts.DroppedEvents,
 		"heartbeats": counts.Heartbeats, "log_reads": counts.Reads, "starts": counts.Starts,
 		"peer_bytes_received": peers.BytesReceived, "peer_bytes_sent": peers.BytesSent,
+		"client_bytes_received": n.meter.Received(), "client_bytes_sent": n.meter.Sent(),
 	}
 	for name, value := range values {
 		scope.Gauge(name).Update(float64(value))
--- a/internal/platform/connector/connector.go
+++ b/internal/platform/connector/connector.go
@@ -41,13 +41,20 @@
 
 // NewHTTP returns a client whose connections come from a local address; an invalid
 // address leaves the choice to the system.
-func NewHTTP(local netip.Addr) *http.Client {
+// Meter, where given, counts the bytes.
+func NewHTTP(local netip.Addr, meter *Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	if local.IsValid() && !local.IsUnspecified() {
 		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil || meter == nil {
+				return conn, err
+			}
+			return &meteredConn{Conn: conn, meter: meter}, nil
+		},
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: idlePerHost,
 		DisableCompression:  true,
--- a/internal/platform/messages/upstream.go
+++ b/internal/platform/messages/upstream.go
@@ -45,6 +45,8 @@
 
 // UpstreamFault switches the faults of an upstream stand-in.
 type UpstreamFault struct {
+	// Begin is the time before a request that was read begins.
+	Begin time.Duration `json:"begin_ns"`
 	// Delay is the time that a request takes.
 	Delay time.Duration `json:"delay_ns"`
 	// Shuffle sends the parts out of order, doubled, and mixed with old ones.
--- a/internal/query/parser/parser.go
+++ b/internal/query/parser/parser.go
@@ -13,7 +13,7 @@
 var words = lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "String", Pattern: `"(\\"|[^"])*"`},
 	{Name: "Operator", Pattern: `!=|<=|>=|[=<>~]`},
-	{Name: "Word", Pattern: `[A-Za-z0-9_][A-Za-z0-9_.:/%@-]*`},
+	{Name: "Word", Pattern: `-?[A-Za-z0-9_][A-Za-z0-9_.:/%@-]*`},
 	{Name: "space", Pattern: `\s+`},
 })
 
--- a/internal/query/parser/statement.go
+++ b/internal/query/parser/statement.go
@@ -60,8 +60,8 @@
 
 // Cancel ends jobs: one by name, or all for which the conditions hold.
 type Cancel struct {
-	ID    string      `parser:"( 'job'? @(Word|String)"`
-	Where []Condition `parser:"| 'where' @@ ( 'and' @@ )* )"`
+	Where []Condition `parser:"( 'where' @@ ( 'and' @@ )*"`
+	ID    string      `parser:"| 'job'? @(Word|String) )"`
 }
 
 // Drain moves work off a worker or rack, or takes a host out of service.
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -97,6 +97,9 @@
 		responder.Fail(w, http.StatusBadRequest, err)
 		return
 	}
+	if fault.Begin > 0 {
+		u.clock.Sleep(fault.Begin)
+	}
 	u.answer(w, attempt, u.work(id, attempt, body, fault))
 }
 
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,60 @@
+#!/usr/bin/env bash
+# Takes one rule at a time out of a copy of the code and runs the test that proves it: each
+# must turn red. A proof that stays green without its rule proves nothing.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+git ls-files -co --exclude-standard | grep -E '\.go$|^go\.|\.chart$|testdata/' | xargs cp --parents -t "$work"
+survived=0
+
+# mutant NAME FILE FROM TO PACKAGE TESTS: the text FROM becomes TO; the tests must fail.
+mutant() {
+  cp "$work/$2" "$work/kept"
+  FROM=$3 TO=$4 perl -0pi -e 's/\Q$ENV{FROM}\E/$ENV{TO}/' "$work/$2"
+  if cmp -s "$work/$2" "$work/kept"; then
+    echo "NOT APPLIED: $1"
+    survived=$((survived + 1))
+  elif (cd "$work" && timeout 60 go test -vet=off -timeout 50s -run "$6" "./$5" >"$work/out" 2>&1); then
+    echo "SURVIVED: $1"
+    survived=$((survived + 1))
+  elif grep -q 'build failed' "$work/out"; then
+    echo "NOT BUILT: $1"
+    survived=$((survived + 1))
+  else
+    echo "red, as it must be: $1"
+  fi
+  cp "$work/kept" "$work/$2"
+}
+
+cell=internal/node/starter
+mutant "1 a worker takes no more than it has" internal/core/placer/placer.go \
+  'r.closed || !need.Size.Fits(r.free())' 'r.closed' $cell 'TestLostRepliesToStarts'
+mutant "1 an upstream gets no more than its slots" internal/core/slotter/slotter.go \
+  '&& u.busy < u.limit()' '' $cell 'TestUpstreamsGetNoMoreThanTheirSlots'
+mutant "2 tasks of a lost worker wait for its leases" internal/core/tracker/worker.go \
+  'now.After(w.promised.Add(t.options.Skew)) &&' '' $cell 'TestTasksOfALostWorker'
+mutant "2 a new holder reads the inventory first" internal/core/tracker/tracker.go \
+  'if w.shard == id && !w.read && !t.hasLapsed(now, w) {' 'if false {' $cell 'TestHolderDiesWithWorkRunning'
+mutant "3 parts of another attempt are dropped" internal/platform/assembler/assembler.go \
+  'if p.Attempt != a.attempt {' 'if false {' $cell 'TestAnswerIsWhole'
+mutant "3 an answer without its last part is no answer" internal/platform/assembler/assembler.go \
+  'if a.last < 0 || len(a.parts) != a.last+1 {' 'if len(a.parts) == 0 {' $cell 'TestAnswerIsWhole'
+mutant "4 not run is said only once nobody can send" internal/core/admitter/settle.go \
+  'settledAt := r.lostAt.Add(a.options.Settle)' 'settledAt := r.lostAt.Add(-a.options.Settle)' $cell 'TestNotRunMeansNotRun'
+mutant "5 an intent comes before the dispatch" internal/core/admitter/dispatch.go \
+  'if r.repeatable || r.logged || r.held {' 'if true {' $cell 'TestOrderRunsOnceThoughItsHolderDies'
+mutant "5 a lost reply is settled by asking" internal/core/admitter/settle.go \
+  'if r.repeatable {
+		r.mayHaveRun = true' 'if true {
+		r.mayHaveRun = true' $cell 'TestLostReplyOfUpstream'
+mutant "6 a leaving upstream gets nothing new" internal/core/slotter/slotter.go \
+  'u.known && !u.leaving' 'u.known' $cell 'TestLeavingUpstream'
+mutant "7 a host leaves only with nothing in flight" internal/node/starter/starter.go \
+  'return n.listener.InFlight() == 0 && n.runner.Routes().Left' 'return true' $cell 'TestGracefulShutdown|TestShutdownTells'
+mutant "8 a change replaces the version that it names" internal/cell/applier/state.go \
+  'if c.Replaces != present.Version {' 'if false {' $cell 'TestOfTwoRacingOperators'
+mutant "8 a snapshot below the state is ignored" internal/cell/applier/state.go \
+  'if next.Next <= s.Next {' 'if false {' internal/cell/applier 'TestSnapshot'
+echo "mutants: $survived survived"
+[ "$survived" = 0 ]
