--- a/internal/cell/applier/job.go
+++ b/internal/cell/applier/job.go
@@ -1,6 +1,9 @@
 package applier
 
 import (
+	"cmp"
+	"slices"
+
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/cell/recorder"
 )
@@ -21,6 +24,18 @@
 	return j.Ended[index].Attempt + 1
 }
 
+// JobsInOrder lists the jobs in the order in which they were accepted.
+func (s *State) JobsInOrder() []*JobRecord {
+	jobs := make([]*JobRecord, 0, len(s.Jobs))
+	for _, job := range s.Jobs {
+		jobs = append(jobs, job)
+	}
+	slices.SortFunc(jobs, func(a, b *JobRecord) int {
+		return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Job.ID, b.Job.ID))
+	})
+	return jobs
+}
+
 func (s *State) applySubmit(offset int64, r recorder.Record, b recorder.Submit) Verdict {
 	if _, found := s.Jobs[b.Job.ID]; found {
 		return void("job %s was submitted before", b.Job.ID)
--- a/internal/cell/descriptor/identity.go
+++ b/internal/cell/descriptor/identity.go
@@ -53,6 +53,12 @@
 	return h.Name + "@" + h.Incarnation
 }
 
+// ParseHostID reads the form that HostID.String prints.
+func ParseHostID(text string) HostID {
+	name, incarnation, _ := strings.Cut(text, "@")
+	return HostID{Name: name, Incarnation: incarnation}
+}
+
 // IsZero reports whether no host is named.
 func (h HostID) IsZero() bool {
 	return h == HostID{}
--- a/internal/core/blamer/blamer.go
+++ b/internal/core/blamer/blamer.go
@@ -20,6 +20,9 @@
 	"time"
 
 	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/cell/recorder"
+	"lentilrock.example/internal/core/tasker"
+	"lentilrock.example/internal/platform/messages"
 )
 
 const (
@@ -29,6 +32,8 @@
 	jobsToHold  = 2
 	firstHold   = 10 * time.Second
 	longestHold = 10 * time.Minute
+	// maxExcused is how many failures of a task may be put down to its workers.
+	maxExcused = 2
 )
 
 type record struct {
@@ -98,6 +103,25 @@
 	*r = record{proven: true}
 }
 
+// Judge decides whose fault the end of an attempt was, and how the log is to hold it.
+func (b *Blamer) Judge(now time.Time, worker string, task *tasker.Task, state messages.TaskState) recorder.TaskEnd {
+	end := tasker.EndOf(state)
+	switch {
+	case end == recorder.TaskDone:
+		b.Succeeded(worker)
+	case end == recorder.TaskFailed:
+		speaksAgainstJob := b.Failed(now, worker, task.Job.ID)
+		task.FailedOn = append(task.FailedOn, worker)
+		if !speaksAgainstJob && task.Excused < maxExcused && !task.Job.OneShot {
+			task.Excused++
+			return recorder.TaskLost
+		}
+	case task.Job.OneShot:
+		return recorder.TaskFailed
+	}
+	return end
+}
+
 // IsHeld reports whether a worker is held back.
 func (b *Blamer) IsHeld(worker string) bool {
 	r, found := b.records[worker]
--- a/internal/core/decider/authority.go
+++ b/internal/core/decider/authority.go
@@ -22,7 +22,7 @@
 	return nil
 }
 
-// StartUntil implements tracker.Authority.
+// StartUntil implements authorizer.Authority.
 func (d *Decider) StartUntil(now time.Time, shard descriptor.ShardID) time.Time {
 	c := d.claimer(shard)
 	if c == nil || !c.CanAct(now) {
@@ -31,7 +31,7 @@
 	return c.WindowEnd()
 }
 
-// MayRenew implements tracker.Authority.
+// MayRenew implements authorizer.Authority.
 func (d *Decider) MayRenew(now time.Time, shard descriptor.ShardID, worker string) bool {
 	c := d.claimer(shard)
 	if c == nil {
@@ -52,7 +52,7 @@
 		now.Sub(c.LastRead()) < d.options.Claims.Cap
 }
 
-// MayDeclareLost implements tracker.Authority: the heir must have renounced the worker for
+// MayDeclareLost implements authorizer.Authority: the heir must have renounced the worker for
 // as long as a lease runs.
 func (d *Decider) MayDeclareLost(now time.Time, shard descriptor.ShardID, worker string) bool {
 	c := d.claimer(shard)
@@ -87,7 +87,7 @@
 	return c != nil && c.CanAct(now)
 }
 
-// Epoch implements tracker.Authority and admitter.Authority.
+// Epoch implements authorizer.Authority and admitter.Authority.
 func (d *Decider) Epoch(shard descriptor.ShardID) int64 {
 	if c := d.claimer(shard); c != nil {
 		return c.Epoch()
@@ -106,7 +106,7 @@
 	return c != nil && !c.Claim().Heir.IsZero() && d.view(d.now).IsLive(c.Claim().Heir)
 }
 
-// Job implements tracker.Jobs.
+// Job implements authorizer.Jobs.
 func (d *Decider) Job(id descriptor.JobID) *applier.JobRecord {
 	return d.local.Jobs[id]
 }
@@ -138,11 +138,6 @@
 	return view
 }
 
-func parseHostID(text string) descriptor.HostID {
-	name, incarnation, _ := strings.Cut(text, "@")
-	return descriptor.HostID{Name: name, Incarnation: incarnation}
-}
-
 // tickClaims moves the claims of this host forward.
 func (d *Decider) tickClaims(now time.Time, out *signaller.Outbox) {
 	view := d.view(now)
@@ -292,8 +287,8 @@
 	}
 	c.InventoryRead()
 	d.admitter.ForgetLoads()
-	for _, id := range sortedJobs(d.local.Jobs) {
-		job := d.local.Jobs[id]
+	for _, job := range d.local.JobsInOrder() {
+		id := job.Job.ID
 		if job.IsOpen() && d.options.Layout.ShardOf(string(id)) == shard {
 			d.adopt(now, shard, job, out)
 		}
--- a/internal/core/decider/decider.go
+++ b/internal/core/decider/decider.go
@@ -25,8 +25,10 @@
 	"lentilrock.example/internal/core/claimer"
 	"lentilrock.example/internal/core/estimator"
 	"lentilrock.example/internal/core/limiter"
+	"lentilrock.example/internal/core/pacer"
 	"lentilrock.example/internal/core/planner"
 	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/core/snapshotter"
 	"lentilrock.example/internal/core/tracker"
 )
 
@@ -36,19 +38,15 @@
 	DataCentre string
 	Layout     descriptor.Layout
 	Claims     claimer.Options
-	Tracker    tracker.Options
+	Tracker    pacer.Options
 	Requests   limiter.Options
 	Planner    planner.Options
 	// SnapshotEvery is how many records of a stream lie between two snapshots.
 	SnapshotEvery int64
 }
 
-const (
-	// DefaultSnapshotEvery is the default of Options.SnapshotEvery.
-	DefaultSnapshotEvery = 5_000
-	// appendPause is how long the log counts as down after it refused an append.
-	appendPause = time.Second
-)
+// appendPause is how long the log counts as down after it refused an append.
+const appendPause = time.Second
 
 type peer struct {
 	dataCentre string
@@ -85,7 +83,7 @@
 	lastRead      time.Time
 	readOK        bool
 	appendBlocked time.Time
-	lastSnapshot  map[string]int64
+	snapshots     snapshotter.Snapshotter
 	configVersion int64
 	wasUp         bool
 	isLeaving     bool
@@ -95,9 +93,6 @@
 
 // New returns a core that knows nothing of its cell yet.
 func New(options Options) *Decider {
-	if options.SnapshotEvery == 0 {
-		options.SnapshotEvery = DefaultSnapshotEvery
-	}
 	options.Claims = options.Claims.WithDefaults()
 	d := &Decider{
 		options:         options,
@@ -109,7 +104,7 @@
 		renounced:       make(map[string]int64),
 		promises:        make(map[string]time.Time),
 		formerHeirUntil: make(map[descriptor.ShardID]time.Time),
-		lastSnapshot:    make(map[string]int64),
+		snapshots:       snapshotter.New(options.SnapshotEvery),
 		closing:         make(map[descriptor.JobID]bool),
 	}
 	for _, shard := range options.Layout.Shards(options.DataCentre) {
@@ -188,7 +183,7 @@
 			return view.HasEnded(id)
 		}
 	}
-	return view.HasEnded(parseHostID(host))
+	return view.HasEnded(descriptor.ParseHostID(host))
 }
 
 // propose appends records for a caller or operator, who hears what becomes of them.
@@ -233,32 +228,18 @@
 	case err != nil:
 		out.Report("A snapshot can't be read.", "stream", e.Stream, "error", err.Error())
 	case isNewer:
-		d.lastSnapshot[e.Stream] = state.Next
+		d.snapshots.Saved(e.Stream, state.Next)
 		d.useConfig()
 		out.Report("A snapshot was restored.", "stream", e.Stream)
 	}
 }
 
-// snapshot writes the state into the log well before the records that it covers are
+// snapshot writes the states into the log well before the records that they cover are
 // trimmed.
 func (d *Decider) snapshot(now time.Time, out *signaller.Outbox) {
-	first := d.claimers[0]
-	if !first.CanAct(now) || !d.CanAppend() {
-		return
-	}
-	d.snapshotOf(recorder.DataCentreStream(d.options.DataCentre), &d.local, out)
-	d.snapshotOf(recorder.ConfigStream, &d.config, out)
-}
-
-func (d *Decider) snapshotOf(stream string, state *applier.State, out *signaller.Outbox) {
-	if state.Next-d.lastSnapshot[stream] < d.options.SnapshotEvery {
-		return
-	}
-	data, err := state.Encode()
-	if err != nil {
-		out.Report("A snapshot can't be written.", "stream", stream, "error", err.Error())
+	if !d.claimers[0].CanAct(now) || !d.CanAppend() {
 		return
 	}
-	d.lastSnapshot[stream] = state.Next
-	out.Add(signaller.SaveSnapshot{Stream: stream, Offset: state.Next, State: data})
+	d.snapshots.Save(recorder.DataCentreStream(d.options.DataCentre), &d.local, out)
+	d.snapshots.Save(recorder.ConfigStream, &d.config, out)
 }
--- a/internal/core/decider/log.go
+++ b/internal/core/decider/log.go
@@ -1,8 +1,6 @@
 package decider
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,12 +9,12 @@
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/cell/recorder"
 	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/pacer"
 	"lentilrock.example/internal/core/signaller"
-	"lentilrock.example/internal/core/tracker"
 	"lentilrock.example/internal/core/vetter"
 )
 
-const defaultLease = tracker.DefaultLease
+const defaultLease = pacer.DefaultLease
 
 // logRead folds the records of an answered read.
 func (d *Decider) logRead(now time.Time, e signaller.LogRead, out *signaller.Outbox) {
@@ -260,14 +258,3 @@
 		return d.options.Layout.ShardOfRack(host.DataCentre, host.Rack)
 	})
 }
-
-func sortedJobs(jobs map[descriptor.JobID]*applier.JobRecord) []descriptor.JobID {
-	ids := make([]descriptor.JobID, 0, len(jobs))
-	for id := range jobs {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b descriptor.JobID) int {
-		return cmp.Or(cmp.Compare(jobs[a].Offset, jobs[b].Offset), cmp.Compare(a, b))
-	})
-	return ids
-}
--- a/internal/core/planner/round.go
+++ b/internal/core/planner/round.go
@@ -91,6 +91,11 @@
 		p.finish(w)
 		return
 	}
+	if len(w.pending) < before && r.budget > 0 {
+		// The other teams get their turn, then this job goes on.
+		p.enqueue(w)
+		return
+	}
 	r.aside = append(r.aside, w)
 	if len(w.pending) == before {
 		r.misses++
--- a/internal/core/tasker/task.go
+++ b/internal/core/tasker/task.go
@@ -10,7 +10,9 @@
 package tasker
 
 import (
+	"cmp"
 	_ "embed"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -119,3 +121,35 @@
 func New(id descriptor.TaskID, job descriptor.Job, shard descriptor.ShardID) *Task {
 	return &Task{ID: id, Job: job, Shard: shard, Machine: chart.Machine()}
 }
+
+// View is a task as operators see it.
+type View struct {
+	Task    descriptor.TaskID
+	State   string
+	Attempt int
+	Worker  string
+	Size    descriptor.Size
+	Usage   descriptor.Size
+	Since   time.Time
+	Reason  string
+}
+
+// View returns the task as operators see it.
+func (t *Task) View() View {
+	return View{
+		Task: t.ID, State: string(t.Machine.State()), Attempt: t.Attempt,
+		Worker: t.Worker, Size: t.Size, Usage: t.Usage, Since: t.SentAt,
+	}
+}
+
+// SortedIDs returns the keys of a map of tasks in order.
+func SortedIDs(tasks map[descriptor.TaskID]*Task) []descriptor.TaskID {
+	ids := make([]descriptor.TaskID, 0, len(tasks))
+	for id := range tasks {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b descriptor.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+	})
+	return ids
+}
--- a/internal/core/tracker/start.go
+++ b/internal/core/tracker/start.go
@@ -1,14 +1,12 @@
 package tracker
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/cell/recorder"
 	"lentilrock.example/internal/chart/interpreter"
 	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/drainer"
 	"lentilrock.example/internal/core/planner"
 	"lentilrock.example/internal/core/signaller"
 	"lentilrock.example/internal/core/tasker"
@@ -168,58 +166,25 @@
 	}})
 }
 
-// SetDrains takes in which workers and racks are being drained, as "worker.NAME" and
-// "rack.NAME".
-func (t *Tracker) SetDrains(now time.Time, drains map[string]bool) {
-	t.drain = drains
+// SetDrains takes in which workers and racks are being drained.
+func (t *Tracker) SetDrains(now time.Time, drains drainer.Drains) {
+	t.drains = drains
 	for _, w := range t.workers {
 		t.setOpen(now, w)
 	}
 }
 
-// Drain moves tasks off drained workers: all but services at once, services one task of
-// a job at a time and never below the count that must run.
+// Drain moves tasks off the workers that are drained or leave.
 func (t *Tracker) Drain(out *signaller.Outbox) {
 	for _, name := range sorter.Keys(t.workers) {
 		w := t.workers[name]
-		if !t.isDrained(w.host) && !w.leaving {
+		if !t.drains.Covers(w.host) && !w.leaving {
 			continue
 		}
-		for _, id := range sortedTaskIDs(w.tasks) {
-			k := w.tasks[id]
-			if k.Machine.State() == tasker.StateRunning && t.mayMove(k) {
+		for _, id := range tasker.SortedIDs(w.tasks) {
+			if k := w.tasks[id]; drainer.MayMove(k, t.byJob[id.Job]) {
 				t.stop(k, true, out)
 			}
 		}
 	}
 }
-
-func (t *Tracker) mayMove(k *tasker.Task) bool {
-	if k.Job.OneShot {
-		return false
-	}
-	if k.Job.Kind != descriptor.KindService {
-		return true
-	}
-	running, moving := 0, 0
-	for _, o := range t.byJob[k.ID.Job] {
-		switch o.Machine.State() {
-		case tasker.StateRunning:
-			running++
-		default:
-			moving++
-		}
-	}
-	return moving == 0 && running > k.Job.MinRunning
-}
-
-func sortedTaskIDs(m map[descriptor.TaskID]*tasker.Task) []descriptor.TaskID {
-	ids := make([]descriptor.TaskID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b descriptor.TaskID) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
-	})
-	return ids
-}
--- a/internal/core/tracker/tracker.go
+++ b/internal/core/tracker/tracker.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	t := tracker.New(tracker.Options{}, plan, authority, jobs)
+//	t := tracker.New(pacer.Options{}, plan, authority, jobs)
 //	t.SetWorkers(now, hosts)
 //	t.Acquire(now, shard)
 //	t.WorkerAnswered(now, event, &out)
@@ -16,7 +16,6 @@
 package tracker
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -25,76 +24,26 @@
 	"lentilrock.example/internal/cell/recorder"
 	"lentilrock.example/internal/container/prioritizer"
 	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/core/authorizer"
 	"lentilrock.example/internal/core/blamer"
+	"lentilrock.example/internal/core/drainer"
+	"lentilrock.example/internal/core/ender"
+	"lentilrock.example/internal/core/pacer"
 	"lentilrock.example/internal/core/planner"
 	"lentilrock.example/internal/core/signaller"
 	"lentilrock.example/internal/core/tasker"
-)
-
-// Options are the times of the tracker. A zero field takes its default.
-type Options struct {
-	// Lease is how long a renewal lets tasks run on.
-	Lease time.Duration
-	// Heartbeat is the time between two heartbeats to a worker.
-	Heartbeat time.Duration
-	// Skew bounds the difference of two hosts' wall clocks.
-	Skew time.Duration
-	// Silence is the time without an answer after which nothing is placed on a worker.
-	Silence time.Duration
-	// MinFirstLease is the shortest first lease that is worth a start.
-	MinFirstLease time.Duration
-}
-
-// Defaults of Options.
-const (
-	DefaultLease         = 15 * time.Second
-	DefaultHeartbeat     = time.Second
-	DefaultSkew          = 100 * time.Millisecond
-	DefaultSilence       = 3 * time.Second
-	DefaultMinFirstLease = 300 * time.Millisecond
+	"lentilrock.example/internal/platform/messages"
 )
 
 // settleDelay is how soon after a start the worker's leases are renewed.
 const settleDelay = 200 * time.Millisecond
 
-// maxExcused is how many failures of a task may be put down to its workers.
-const maxExcused = 2
-
-func (o Options) withDefaults() Options {
-	o.Lease = cmp.Or(o.Lease, DefaultLease)
-	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
-	o.Skew = cmp.Or(o.Skew, DefaultSkew)
-	o.Silence = cmp.Or(o.Silence, DefaultSilence)
-	o.MinFirstLease = cmp.Or(o.MinFirstLease, DefaultMinFirstLease)
-	return o
-}
-
-// Authority says what this host may do for a shard.
-type Authority interface {
-	// StartUntil returns the end of the window in which this host may start tasks; it is
-	// zero where it may not.
-	StartUntil(now time.Time, shard descriptor.ShardID) time.Time
-	// MayRenew reports whether this host may renew the leases of a worker.
-	MayRenew(now time.Time, shard descriptor.ShardID, worker string) bool
-	// MayDeclareLost reports whether nobody else can still renew a worker's leases, once
-	// those that this host knows of have lapsed.
-	MayDeclareLost(now time.Time, shard descriptor.ShardID, worker string) bool
-	// Epoch returns the epoch under which this host holds the shard.
-	Epoch(shard descriptor.ShardID) int64
-}
-
-// Jobs is the state of jobs in the log.
-type Jobs interface {
-	// Job returns a job, or nil where the log knows none.
-	Job(id descriptor.JobID) *applier.JobRecord
-}
-
 // Tracker follows the tasks of the held shards.
 type Tracker struct {
-	options   Options
+	options   pacer.Options
 	planner   *planner.Planner
-	authority Authority
-	jobs      Jobs
+	authority authorizer.Authority
+	jobs      authorizer.Jobs
 	blame     blamer.Blamer
 
 	workers map[string]*worker
@@ -102,18 +51,9 @@
 	tasks   map[descriptor.TaskID]*tasker.Task
 	byJob   map[descriptor.JobID][]*tasker.Task
 	delayed *prioritizer.Queue[delayed]
-	// ended holds the ends that are not yet sent to the log.
-	ended map[descriptor.JobID][]recorder.EndedTask
-	drain map[string]bool
-	sizes Sizes
-}
-
-// Sizes learns what tasks of a class really use.
-type Sizes interface {
-	// Observe takes in a measured use.
-	Observe(class string, usage descriptor.Size)
-	// Need returns the size to plan with for a class and a declared size.
-	Need(class string, declared descriptor.Size) descriptor.Size
+	ended   ender.Ender
+	drains  drainer.Drains
+	sizes   authorizer.Sizes
 }
 
 type delayed struct {
@@ -131,15 +71,13 @@
 }
 
 // New returns a tracker that follows nothing.
-func New(options Options, p *planner.Planner, authority Authority, jobs Jobs, sizes Sizes) *Tracker {
+func New(options pacer.Options, p *planner.Planner, authority authorizer.Authority, jobs authorizer.Jobs, sizes authorizer.Sizes) *Tracker {
 	return &Tracker{
-		options: options.withDefaults(), planner: p, authority: authority, jobs: jobs, sizes: sizes,
+		options: options.WithDefaults(), planner: p, authority: authority, jobs: jobs, sizes: sizes,
 		workers: make(map[string]*worker),
 		shards:  make(map[descriptor.ShardID]*shard),
 		tasks:   make(map[descriptor.TaskID]*tasker.Task),
 		byJob:   make(map[descriptor.JobID][]*tasker.Task),
-		ended:   make(map[descriptor.JobID][]recorder.EndedTask),
-		drain:   make(map[string]bool),
 		delayed: prioritizer.New(func(a, b delayed) bool {
 			if !a.due.Equal(b.due) {
 				return a.due.Before(b.due)
@@ -334,25 +272,20 @@
 	if w, found := t.workers[k.Worker]; found {
 		delete(w.tasks, k.ID)
 	}
-	t.ended[k.ID.Job] = append(t.ended[k.ID.Job], ended)
+	t.ended.Add(k.ID.Job, ended)
 }
 
 // TakeEnded returns the ends that the log must hear of, by job.
-func (t *Tracker) TakeEnded() []recorder.TasksEnded {
-	var bodies []recorder.TasksEnded
-	for _, id := range sorter.Keys(t.ended) {
-		bodies = append(bodies, recorder.TasksEnded{Job: id, Ended: t.ended[id]})
-	}
-	clear(t.ended)
-	return bodies
-}
+func (t *Tracker) TakeEnded() []recorder.TasksEnded { return t.ended.Take() }
 
 // EndsRecorded takes in that the log holds the ends of some tasks of a job: the workers
 // may forget them, and what is not done is tried again.
 func (t *Tracker) EndsRecorded(now time.Time, record *applier.JobRecord, ended []recorder.EndedTask) {
 	for _, e := range ended {
 		id := descriptor.TaskID{Job: record.Job.ID, Index: e.Index}
-		t.acknowledge(e.Worker, id, e.Attempt)
+		if w, found := t.workers[e.Worker]; found {
+			w.acks = append(w.acks, messages.AttemptID{Task: id, Attempt: e.Attempt})
+		}
 		k, found := t.tasks[id]
 		if !found || k.Machine.State() != tasker.StateEnded || k.Attempt > e.Attempt {
 			continue
--- a/internal/core/tracker/view.go
+++ b/internal/core/tracker/view.go
@@ -1,35 +1,18 @@
 package tracker
 
 import (
-	"time"
-
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/core/blamer"
 	"lentilrock.example/internal/core/tasker"
 )
 
-// TaskView is a task as operators see it.
-type TaskView struct {
-	Task    descriptor.TaskID
-	State   string
-	Attempt int
-	Worker  string
-	Size    descriptor.Size
-	Usage   descriptor.Size
-	Since   time.Time
-	Reason  string
-}
-
 // Tasks lists the tasks of the held shards by name.
-func (t *Tracker) Tasks() []TaskView {
-	views := make([]TaskView, 0, len(t.tasks))
-	for _, id := range sortedTaskIDs(t.tasks) {
+func (t *Tracker) Tasks() []tasker.View {
+	views := make([]tasker.View, 0, len(t.tasks))
+	for _, id := range tasker.SortedIDs(t.tasks) {
 		k := t.tasks[id]
-		view := TaskView{
-			Task: id, State: string(k.Machine.State()), Attempt: k.Attempt,
-			Worker: k.Worker, Size: k.Size, Usage: k.Usage, Since: k.SentAt,
-		}
+		view := k.View()
 		if k.Machine.State() == tasker.StateQueued {
 			_, view.Since, view.Reason = t.planner.Waiting(id.Job)
 		}
@@ -77,7 +60,7 @@
 		return "reading"
 	case w.leaving:
 		return "leaving"
-	case t.isDrained(w.host):
+	case t.drains.Covers(w.host):
 		return "drained"
 	case t.blame.IsProbing(w.host.Name):
 		return "probing"
--- a/internal/core/tracker/worker.go
+++ b/internal/core/tracker/worker.go
@@ -35,14 +35,10 @@
 func (t *Tracker) setOpen(now time.Time, w *worker) {
 	w.silent = now.Sub(w.lastAnswer) > t.options.Silence
 	isHeldBack := t.blame.IsHeld(w.host.Name)
-	closed := !w.read || w.silent || w.leaving || isHeldBack || t.isDrained(w.host)
+	closed := !w.read || w.silent || w.leaving || isHeldBack || t.drains.Covers(w.host)
 	t.planner.CloseWorker(w.host.Name, closed)
 }
 
-func (t *Tracker) isDrained(host descriptor.Host) bool {
-	return t.drain["worker."+host.Name] || t.drain["rack."+host.Rack]
-}
-
 // hasLapsed reports whether no lease on a worker can still run.
 func (t *Tracker) hasLapsed(now time.Time, w *worker) bool {
 	return now.After(w.promised.Add(t.options.Skew)) &&
@@ -101,7 +97,7 @@
 func (t *Tracker) lose(w *worker, out *signaller.Outbox) {
 	w.lost = true
 	out.Report("A worker is lost and its leases have lapsed.", "worker", w.host.Name)
-	for _, id := range sortedTaskIDs(w.tasks) {
+	for _, id := range tasker.SortedIDs(w.tasks) {
 		t.endLost(w.tasks[id], false)
 	}
 	if w.leaving {
@@ -167,7 +163,7 @@
 		seen[held.Task] = max(seen[held.Task], held.Attempt)
 		t.reconcile(now, w, held, out)
 	}
-	for _, id := range sortedTaskIDs(w.tasks) {
+	for _, id := range tasker.SortedIDs(w.tasks) {
 		k := w.tasks[id]
 		if seen[id] < k.Attempt && w.read {
 			t.settleAbsent(now, k, e.SentAt, isSameLife)
@@ -296,29 +292,10 @@
 	}
 	t.end(k, recorder.EndedTask{
 		Index: held.Task.Index, Attempt: held.Attempt, Worker: w.host.Name,
-		End: t.judge(now, w, k, held), Checkpointed: held.Checkpointed,
+		End: t.blame.Judge(now, w.host.Name, k, held.State), Checkpointed: held.Checkpointed,
 	})
 }
 
-// judge decides whose fault an end was.
-func (t *Tracker) judge(now time.Time, w *worker, k *tasker.Task, held messages.Held) recorder.TaskEnd {
-	end := tasker.EndOf(held.State)
-	switch {
-	case end == recorder.TaskDone:
-		t.blame.Succeeded(w.host.Name)
-	case end == recorder.TaskFailed:
-		speaksAgainstJob := t.blame.Failed(now, w.host.Name, k.Job.ID)
-		k.FailedOn = append(k.FailedOn, w.host.Name)
-		if !speaksAgainstJob && k.Excused < maxExcused && !k.Job.OneShot {
-			k.Excused++
-			return recorder.TaskLost
-		}
-	case k.Job.OneShot:
-		return recorder.TaskFailed
-	}
-	return end
-}
-
 // settleAbsent settles a task that this host thinks is on a worker, and that the worker
 // does not list.
 func (t *Tracker) settleAbsent(now time.Time, k *tasker.Task, sentAt time.Time, isSameLife bool) {
@@ -334,9 +311,3 @@
 		}
 	}
 }
-
-func (t *Tracker) acknowledge(name string, id descriptor.TaskID, attempt int) {
-	if w, found := t.workers[name]; found {
-		w.acks = append(w.acks, messages.AttemptID{Task: id, Attempt: attempt})
-	}
-}
--- a/internal/node/starter/fault_test.go
+++ b/internal/node/starter/fault_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lentilrock.example/internal/cell/recorder"
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/core/decider"
 	"lentilrock.example/internal/platform/messages"
 	"lentilrock.example/internal/settings/checker"
@@ -448,18 +449,43 @@
 	})
 }
 
+// silence makes a worker that runs tasks answer nothing more; the tasks run on until their
+// leases lapse.
+func (c *cell) silence() {
+	c.t.Helper()
+	for _, name := range sorter.Keys(c.workers) {
+		if w := c.workers[name]; len(w.Runs().Runs) > 0 {
+			w.SetFault(messages.WorkerFault{Down: true})
+			return
+		}
+	}
+	c.t.Fatal("no worker runs a task")
+}
+
 func TestTasksOfALostWorkerRunElsewhereOnlyAfterTheirLeases(t *testing.T) {
+	for _, hosts := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d entry hosts", hosts), func(t *testing.T) {
+			inCell(t, brno, 4, 1, func(c *cell) {
+				holder := setUp(c, hosts)
+				c.mustDo(holder, "submit service dispatch team svacinka tasks 4 cores 1 memory 512Mi")
+				c.wait("the service to run", 10*time.Second, func() bool { return c.running("dispatch") == 4 })
+				c.silence()
+				time.Sleep(20 * time.Second)
+				c.wait("the service to run whole again", 2*time.Minute, func() bool { return c.running("dispatch") == 4 })
+				c.checkWorkers()
+			})
+		})
+	}
+}
+
+func TestTakeoverWithASilentWorker(t *testing.T) {
 	inCell(t, brno, 4, 1, func(c *cell) {
 		holder := setUp(c, 3)
-		c.mustDo(holder, "submit service dispatch team svacinka tasks 4 cores 1 memory 512Mi")
+		c.mustDo(holder, "submit service dispatch team svacinka tasks 4 cores 6 memory 512Mi")
 		c.wait("the service to run", 10*time.Second, func() bool { return c.running("dispatch") == 4 })
-		for _, w := range c.workers {
-			if len(w.Runs().Runs) > 0 {
-				w.SetFault(messages.WorkerFault{Down: true})
-				break
-			}
-		}
-		time.Sleep(20 * time.Second)
+		c.silence()
+		c.kill(holder)
+		c.waitHeld(0, 2*time.Minute)
 		c.wait("the service to run whole again", 2*time.Minute, func() bool { return c.running("dispatch") == 4 })
 		c.checkWorkers()
 	})
--- a/internal/settings/checker/checker.go
+++ b/internal/settings/checker/checker.go
@@ -14,9 +14,9 @@
 
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/core/claimer"
-	"lentilrock.example/internal/core/decider"
 	"lentilrock.example/internal/core/limiter"
-	"lentilrock.example/internal/core/tracker"
+	"lentilrock.example/internal/core/pacer"
+	"lentilrock.example/internal/core/snapshotter"
 )
 
 // Fault is one thing that is wrong in a settings file.
@@ -107,10 +107,10 @@
 			Cap:     r.duration("claims.cap", claimer.DefaultCap, time.Second, 24*time.Hour),
 			Suspect: r.duration("claims.suspect", claimer.DefaultSuspect, 100*time.Millisecond, time.Minute),
 		},
-		Tracker: tracker.Options{
-			Lease:     r.duration("leases.lease", tracker.DefaultLease, time.Second, time.Hour),
-			Heartbeat: r.duration("leases.heartbeat", tracker.DefaultHeartbeat, 50*time.Millisecond, time.Minute),
-			Skew:      r.duration("leases.skew", tracker.DefaultSkew, time.Millisecond, time.Minute),
+		Tracker: pacer.Options{
+			Lease:     r.duration("leases.lease", pacer.DefaultLease, time.Second, time.Hour),
+			Heartbeat: r.duration("leases.heartbeat", pacer.DefaultHeartbeat, 50*time.Millisecond, time.Minute),
+			Skew:      r.duration("leases.skew", pacer.DefaultSkew, time.Millisecond, time.Minute),
 		},
 		Requests: limiter.Options{
 			MaxQueued:      int(r.number("requests.max_queued", limiter.DefaultMaxQueued, 1, 1<<20)),
@@ -123,7 +123,7 @@
 		DefaultTimeout: r.duration("limits.default_timeout", DefaultRequestTimeout, time.Millisecond, time.Hour),
 		LogLevel:       r.choice("logging.level", "info", "debug", "error", "info", "warn"),
 		Pprof:          r.flag("debug.pprof"),
-		SnapshotEvery:  r.number("log.snapshot_every", decider.DefaultSnapshotEvery, 10, 1<<30),
+		SnapshotEvery:  r.number("log.snapshot_every", snapshotter.DefaultEvery, 10, 1<<30),
 	}
 	r.checkTogether(s)
 	return s
--- a/internal/settings/checker/settings.go
+++ b/internal/settings/checker/settings.go
@@ -19,7 +19,7 @@
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/core/claimer"
 	"lentilrock.example/internal/core/limiter"
-	"lentilrock.example/internal/core/tracker"
+	"lentilrock.example/internal/core/pacer"
 )
 
 // Settings are the settings of an entry host.
@@ -32,7 +32,7 @@
 	LogAddress netip.AddrPort
 	HostList   netip.AddrPort
 	Claims     claimer.Options
-	Tracker    tracker.Options
+	Tracker    pacer.Options
 	Requests   limiter.Options
 	// MaxBody bounds a caller's request body, in bytes.
 	MaxBody int64
