--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for people and for CI; README.md shows the first two.
 BIN := bin
 
-.PHONY: all bench build demo fmt lint model replay test
+.PHONY: all bench build demo fmt lint model mutants replay test
 
 all: build
 
@@ -28,5 +28,8 @@
 model:
 	bash spec/check.sh
 
+mutants:
+	bash scripts/mutants.sh
+
 replay: build
 	$(BIN)/lentilrock replay internal/core/replayer/testdata/*.trace
--- a/internal/core/decider/decider.go
+++ b/internal/core/decider/decider.go
@@ -83,6 +83,8 @@
 	lastRead      time.Time
 	readOK        bool
 	appendBlocked time.Time
+	// nextEnds is when the ends of tasks may be appended again.
+	nextEnds      time.Time
 	snapshots     snapshotter.Snapshotter
 	configVersion int64
 	wasUp         bool
--- a/internal/core/decider/log.go
+++ b/internal/core/decider/log.go
@@ -16,6 +16,10 @@
 
 const defaultLease = pacer.DefaultLease
 
+// endsInterval is the time between two appends of ends, so that the log takes few of them
+// however many tasks end.
+const endsInterval = 500 * time.Millisecond
+
 // logRead folds the records of an answered read.
 func (d *Decider) logRead(now time.Time, e signaller.LogRead, out *signaller.Outbox) {
 	if e.Stream == recorder.ConfigStream {
@@ -162,13 +166,14 @@
 
 // recordEnds sends the ends of tasks to the log, one record a job, in one append.
 func (d *Decider) recordEnds(now time.Time, out *signaller.Outbox) {
-	if !d.CanAppend() {
+	if !d.CanAppend() || now.Before(d.nextEnds) {
 		return
 	}
 	bodies := d.tracker.TakeEnded()
 	if len(bodies) == 0 {
 		return
 	}
+	d.nextEnds = now.Add(endsInterval)
 	records := make([]recorder.Record, 0, len(bodies))
 	for i, body := range bodies {
 		id := "ended." + string(body.Job) + "." + strconv.FormatInt(now.UnixNano(), 36) + "." + strconv.Itoa(i)
--- a/internal/core/decider/view.go
+++ b/internal/core/decider/view.go
@@ -53,9 +53,6 @@
 // Live lists the hosts of the data centre that were heard of lately.
 func (d *Decider) Live(now time.Time) []descriptor.HostID { return d.view(now).Live }
 
-// Layout returns the layout of the cell.
-func (d *Decider) Layout() descriptor.Layout { return d.options.Layout }
-
 // Self returns the identity of this life of the host.
 func (d *Decider) Self() descriptor.HostID { return d.options.Self }
 
--- a/internal/node/starter/fault_test.go
+++ b/internal/node/starter/fault_test.go
@@ -453,6 +453,8 @@
 // leases lapse.
 func (c *cell) silence() {
 	c.t.Helper()
+	// Leases have been renewed by then, so that they outlive the silence for long.
+	time.Sleep(3 * time.Second)
 	for _, name := range sorter.Keys(c.workers) {
 		if w := c.workers[name]; len(w.Runs().Runs) > 0 {
 			w.SetFault(messages.WorkerFault{Down: true})
--- a/internal/query/viewer/viewer.go
+++ b/internal/query/viewer/viewer.go
@@ -86,7 +86,7 @@
 		"at", "by", "from", "action", "subject", "before", "after", "outcome", "id",
 	}}
 	entries := slices.Clone(d.Local().Audit)
-	if d.DataCentre() == d.Layout().DataCentres[0] {
+	if d.DataCentre() == d.Cell().Layout.DataCentres[0] {
 		entries = append(entries, d.Config().Audit...)
 	}
 	slices.SortStableFunc(entries, func(a, b applier.AuditEntry) int { return a.At.Compare(b.At) })
@@ -127,7 +127,7 @@
 	}}
 	for _, id := range sorter.Keys(d.Local().Jobs) {
 		job := d.Local().Jobs[id]
-		if !isShown(d, d.Layout().ShardOf(string(id))) {
+		if !isShown(d, d.Cell().Layout.ShardOf(string(id))) {
 			continue
 		}
 		counts := d.Tracker().CountStates(id)
@@ -188,7 +188,7 @@
 			w.Free.String(), w.Host.Capacity.String())
 	}
 	for _, u := range d.Admitter().Upstreams() {
-		if isShown(d, d.Layout().Shards(d.DataCentre())[0]) {
+		if isShown(d, d.Cell().Layout.Shards(d.DataCentre())[0]) {
 			t.Add(u.Name, d.DataCentre(), "upstream", u.State, strconv.Itoa(u.Busy),
 				strconv.Itoa(u.Slots-u.Busy), strconv.Itoa(u.Slots))
 		}
@@ -204,7 +204,7 @@
 	}
 	for _, key := range sorter.Keys(d.Local().Requests) {
 		r := d.Local().Requests[key]
-		if !r.Closed || !isShown(d, d.Layout().ShardOf(key)) {
+		if !r.Closed || !isShown(d, d.Cell().Layout.ShardOf(key)) {
 			continue
 		}
 		t.Add(key, dash(r.Intent.Service), string(r.Outcome.End), dash(fmt.Sprint(r.Intent.Upstreams)), "1", "-")
