Let a drained or leaving host hand its shard over under load

Cause: "drain host" was written to the log and did nothing; and a leaving host went on taking requests that peers forwarded to it, so under steady traffic it would have reached the end of its grace with requests in flight. Change: a host that leaves or is drained takes no new keys; the hosts that forward try again until the next holder has the shard. After: 4 callers in a loop through a drain, every answer done.

--- a/internal/core/admitter/admitter.go
+++ b/internal/core/admitter/admitter.go
@@ -73,6 +73,9 @@
 type Authority interface {
 	// MayDispatch reports whether this host may dispatch for a shard.
 	MayDispatch(now time.Time, shard descriptor.ShardID) bool
+	// MayAdmit reports whether this host takes new requests for a shard: not while it
+	// leaves.
+	MayAdmit(now time.Time, shard descriptor.ShardID) bool
 	// Epoch returns the epoch under which this host holds the shard.
 	Epoch(shard descriptor.ShardID) int64
 	// CanAppend reports whether the log took the last append and answered the last read.
@@ -127,9 +130,7 @@
 
 func (r *request) fire(event interpreter.Event) { r.machine.Try(event) }
 
-func (r *request) is(states ...interpreter.State) bool {
-	return r.machine.Is(states...)
-}
+func (r *request) is(states ...interpreter.State) bool { return r.machine.Is(states...) }
 
 type service struct {
 	queue   *prioritizer.Queue[*request]
@@ -227,6 +228,10 @@
 		a.join(known, e, out)
 		return
 	}
+	if !a.authority.MayAdmit(now, shard) {
+		a.refuse(e.Ref, e.Key, "this host may not dispatch for shard "+shard.String()+" since it leaves", out)
+		return
+	}
 	if !e.Repeatable && a.answerFromLog(now, shard, e, out) {
 		return
 	}
--- a/internal/core/claimer/move.go
+++ b/internal/core/claimer/move.go
@@ -205,9 +205,10 @@
 	c.fire(eventClaimFailed)
 }
 
-// Leave stops claims and asks for a release once nothing is in flight.
-func (c *Claimer) Leave() {
-	c.isLeaving = true
+// SetLeaving stops claims and asks for a release, or lets the host claim again. It must be
+// set only while nothing of the shard is in flight.
+func (c *Claimer) SetLeaving(leaving bool) {
+	c.isLeaving = leaving
 }
 
 func (c *Claimer) leave() []Move {
--- a/internal/core/decider/authority.go
+++ b/internal/core/decider/authority.go
@@ -48,7 +48,7 @@
 // heir does, only while the log is down, and not beyond the cap.
 func (d *Decider) isCaretaker(now time.Time, c *claimer.Claimer) bool {
 	return c.IsHeir() && !c.Claim().Released && !d.CanAppend() &&
-		!d.view(now).IsLive(c.Claim().Holder) &&
+		!d.View(now).IsLive(c.Claim().Holder) &&
 		now.Sub(c.LastRead()) < d.options.Claims.Cap
 }
 
@@ -87,6 +87,14 @@
 	return c != nil && c.CanAct(now)
 }
 
+// MayAdmit implements admitter.Authority.
+func (d *Decider) MayAdmit(now time.Time, shard descriptor.ShardID) bool {
+	return !d.isGoing() && d.MayDispatch(now, shard)
+}
+
+// isGoing reports whether this host is to hold no shard: it leaves, or is drained.
+func (d *Decider) isGoing() bool { return d.isLeaving || d.isDrained }
+
 // Epoch implements authorizer.Authority and admitter.Authority.
 func (d *Decider) Epoch(shard descriptor.ShardID) int64 {
 	if c := d.claimer(shard); c != nil {
@@ -103,7 +111,7 @@
 // HasHeir implements admitter.Authority.
 func (d *Decider) HasHeir(shard descriptor.ShardID) bool {
 	c := d.claimer(shard)
-	return c != nil && !c.Claim().Heir.IsZero() && d.view(d.now).IsLive(c.Claim().Heir)
+	return c != nil && !c.Claim().Heir.IsZero() && d.View(d.now).IsLive(c.Claim().Heir)
 }
 
 // Job implements authorizer.Jobs.
@@ -123,8 +131,8 @@
 	return nil
 }
 
-// view returns what this host knows of the others of its data centre.
-func (d *Decider) view(now time.Time) claimer.View {
+// View returns what this host knows of the others of its data centre.
+func (d *Decider) View(now time.Time) claimer.View {
 	view := claimer.View{CanAppend: d.CanAppend(), Live: []descriptor.HostID{d.options.Self}}
 	for id, p := range d.peers {
 		isLive := p.dataCentre == d.options.DataCentre && now.Sub(p.heardAt) < d.options.Claims.Suspect
@@ -140,11 +148,9 @@
 
 // tickClaims moves the claims of this host forward.
 func (d *Decider) tickClaims(now time.Time, out *signaller.Outbox) {
-	view := d.view(now)
+	view := d.View(now)
 	for _, c := range d.claimers {
-		if d.isLeaving && d.admitter.InFlight(d.CanAppend()) == 0 {
-			c.Leave()
-		}
+		c.SetLeaving(d.isGoing() && d.admitter.InFlight(d.CanAppend()) == 0)
 		for _, move := range c.Tick(now, view) {
 			d.carryOut(now, c, move, out)
 		}
@@ -174,7 +180,7 @@
 // noteFormerHeir remembers how long an heir that is replaced may renew leases.
 func (d *Decider) noteFormerHeir(now time.Time, c *claimer.Claimer, next descriptor.HostID) {
 	former := c.Claim().Heir
-	if former.IsZero() || former == next || former == d.options.Self || d.view(now).HasEnded(former) {
+	if former.IsZero() || former == next || former == d.options.Self || d.View(now).HasEnded(former) {
 		return
 	}
 	d.formerHeirUntil[c.Shard()] = now.Add(d.options.Claims.Cap + d.lease())
--- a/internal/core/decider/decider.go
+++ b/internal/core/decider/decider.go
@@ -87,10 +87,12 @@
 	nextEnds      time.Time
 	snapshots     snapshotter.Snapshotter
 	configVersion int64
-	wasUp         bool
-	isLeaving     bool
-	closing       map[descriptor.JobID]bool
-	now           time.Time
+	// isDrained reports that operators took this host out of service.
+	isDrained bool
+	wasUp     bool
+	isLeaving bool
+	closing   map[descriptor.JobID]bool
+	now       time.Time
 }
 
 // New returns a core that knows nothing of its cell yet.
@@ -179,13 +181,7 @@
 
 // hasEnded reports whether another life of a host, given as "name@incarnation", is live.
 func (d *Decider) hasEnded(host string) bool {
-	view := d.view(d.now)
-	for id := range d.peers {
-		if id.String() == host {
-			return view.HasEnded(id)
-		}
-	}
-	return view.HasEnded(descriptor.ParseHostID(host))
+	return d.View(d.now).HasEnded(descriptor.ParseHostID(host))
 }
 
 // propose appends records for a caller or operator, who hears what becomes of them.
@@ -217,7 +213,7 @@
 
 // IsReady reports whether the host knows its configuration and its data centre's claims.
 func (d *Decider) IsReady() bool {
-	return !d.isLeaving && !d.lastRead.IsZero() && d.configVersion > 0
+	return !d.isGoing() && !d.lastRead.IsZero() && d.configVersion > 0
 }
 
 func (d *Decider) restore(e signaller.Restored, out *signaller.Outbox) {
--- a/internal/core/decider/log.go
+++ b/internal/core/decider/log.go
@@ -236,6 +236,7 @@
 			}
 		}
 	}
+	d.isDrained = drains["host."+d.options.Self.Name]
 	d.tracker.SetDrains(d.now, drains)
 }
 
--- a/internal/core/decider/view.go
+++ b/internal/core/decider/view.go
@@ -50,9 +50,6 @@
 	return views
 }
 
-// Live lists the hosts of the data centre that were heard of lately.
-func (d *Decider) Live(now time.Time) []descriptor.HostID { return d.view(now).Live }
-
 // Self returns the identity of this life of the host.
 func (d *Decider) Self() descriptor.HostID { return d.options.Self }
 
--- a/internal/node/starter/fault_test.go
+++ b/internal/node/starter/fault_test.go
@@ -282,6 +282,47 @@
 	})
 }
 
+func TestDrainedHostHandsItsShardOverUnderLoad(t *testing.T) {
+	inCell(t, brno, 2, 3, func(c *cell) {
+		holder := setUp(c, 3)
+		for _, u := range c.upstreams {
+			u.SetFault(messages.UpstreamFault{Delay: 50 * time.Millisecond})
+		}
+		front := c.other(holder)
+		stop := make(chan struct{})
+		replies := make(chan reply, 4096)
+		var group sync.WaitGroup
+		for caller := range 4 {
+			group.Go(func() {
+				for i := 0; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+						replies <- c.order(front, fmt.Sprintf("order-%d-%d", caller, i), "box", true, 10*time.Second)
+					}
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		c.mustDo(front, "drain host "+holder.name)
+		c.wait("another holder", 10*time.Second, func() bool {
+			next := c.holder(0)
+			return next != nil && next != holder
+		})
+		time.Sleep(time.Second)
+		close(stop)
+		group.Wait()
+		close(replies)
+		for got := range replies {
+			require.Equal(t, "done", got.state, got.body)
+		}
+		require.False(t, holder.node.runner.Routes().Ready)
+		c.mustDo(front, "undrain host "+holder.name)
+		c.wait("readiness", 5*time.Second, func() bool { return holder.node.runner.Routes().Ready })
+	})
+}
+
 func TestShutdownTellsWhyItCutOff(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -488,6 +529,7 @@
 		c.silence()
 		c.kill(holder)
 		c.waitHeld(0, 2*time.Minute)
+		time.Sleep(20 * time.Second)
 		c.wait("the service to run whole again", 2*time.Minute, func() bool { return c.running("dispatch") == 4 })
 		c.checkWorkers()
 	})
--- a/internal/query/viewer/viewer.go
+++ b/internal/query/viewer/viewer.go
@@ -104,7 +104,7 @@
 // Hosts shows the platform's host list as this host last read it.
 func Hosts(d *decider.Decider, now time.Time) tabler.Table {
 	t := tabler.Table{Columns: []string{"host", "role", "state", "data_centre", "region", "address", "rack", "heard"}}
-	live := d.Live(now)
+	live := d.View(now).Live
 	for _, h := range d.Hosts() {
 		heard := "-"
 		if h.Role == descriptor.RoleEntry && h.DataCentre == d.DataCentre() {
