--- a/internal/core/planner/room.go
+++ b/internal/core/planner/room.go
@@ -13,7 +13,7 @@
 // victimProbes bounds the workers that one search for evictions looks at.
 const victimProbes = 64
 
-// maxReserved is the part of the workers that may be reserved at a time.
+// maxReserved is the part of the workers that several jobs may have reserved together.
 const maxReserved = 0.5
 
 // reserveRetry is the time between two searches for workers to reserve for a job.
@@ -26,20 +26,53 @@
 		w.reason = fmt.Sprintf("%d tasks are making room", w.evicting)
 		return
 	}
-	if w.isUrgent() || p.isBelowQuota(w) {
+	mayEvict := w.isUrgent() || p.isBelowQuota(w)
+	isLate := r.now.Sub(w.since) >= p.options.ReserveAfter
+	if w.job.Kind == descriptor.KindGang {
+		p.makeRoomForGang(r, w, mayEvict, isLate)
+		return
+	}
+	if mayEvict {
 		p.evictFor(r, w)
 	}
-	isLate := r.now.Sub(w.since) >= p.options.ReserveAfter && !r.now.Before(w.nextReserve)
-	if w.evicting == 0 && isLate && len(w.reserved) == 0 {
-		w.nextReserve = r.now.Add(reserveRetry)
-		p.reserve(w)
+	if w.evicting == 0 && isLate {
+		p.tryReserve(r, w)
 	}
 }
 
-// isBelowQuota reports whether the job's team stays within its quota with one more task.
+// makeRoomForGang reserves workers before anything is evicted: room on one worker is of no
+// use to a gang while others take it again.
+func (p *Planner) makeRoomForGang(r *round, w *waiting, mayEvict, isLate bool) {
+	if mayEvict || isLate {
+		p.tryReserve(r, w)
+	}
+	if !mayEvict {
+		return
+	}
+	for _, worker := range w.reserved {
+		if !w.size.Fits(p.pool.Free(worker)) {
+			p.evict(r, w, p.victimsOn(worker, w))
+		}
+	}
+}
+
+// tryReserve reserves workers for a job that has none, now and then.
+func (p *Planner) tryReserve(r *round, w *waiting) {
+	if len(w.reserved) > 0 || r.now.Before(w.nextReserve) {
+		return
+	}
+	w.nextReserve = r.now.Add(reserveRetry)
+	p.reserve(w)
+}
+
+// isBelowQuota reports whether the job's team stays within its quota with one more task, or
+// with the whole of a gang.
 func (p *Planner) isBelowQuota(w *waiting) bool {
 	t := p.team(w.job.Team)
 	next := t.used.Add(w.size)
+	if w.job.Kind == descriptor.KindGang {
+		next = t.used.Add(w.size.Times(int64(len(w.pending))))
+	}
 	return next.Share(p.pool.Capacity())*percentScale <= t.weight
 }
 
@@ -57,7 +90,11 @@
 			break
 		}
 	}
-	for _, v := range best {
+	p.evict(r, w, best)
+}
+
+func (p *Planner) evict(r *round, w *waiting, victims []*running) {
+	for _, v := range victims {
 		v.evicted = true
 		v.evictFor = w
 		w.evicting++
@@ -111,14 +148,18 @@
 	if w.isUrgent() {
 		return r.job.Priority < w.job.Priority
 	}
+	if r.job.Kind == descriptor.KindGang {
+		// One member less would hold up the whole gang for one task of another team.
+		return false
+	}
 	owner := p.team(r.job.Team)
 	isBorrowing := owner.used.Share(p.pool.Capacity())*percentScale > owner.weight
 	return r.job.Team != w.job.Team && isBorrowing && r.job.Priority < descriptor.PriorityUrgent
 }
 
 // reserve keeps workers for a job until it is placed: those with the most room first, as
-// many as would take it once all but services have left them. At most a part of the
-// workers is reserved at a time.
+// many as would take it once all but services have left them. The reservations of several
+// jobs together take at most a part of the workers.
 func (p *Planner) reserve(w *waiting) {
 	missing := 1
 	if w.job.Kind == descriptor.KindGang {
@@ -126,6 +167,10 @@
 	}
 	names := p.reservable(w)
 	allowed := int(float64(p.pool.Len())*maxReserved) - len(p.reserved)
+	if len(p.reserved) == 0 {
+		// A job that needs more than that part gets it once no other has a reservation.
+		allowed = p.pool.Len()
+	}
 	var chosen []string
 	for _, name := range names {
 		if missing <= 0 || len(chosen) >= allowed {
--- a/internal/node/starter/cell_test.go
+++ b/internal/node/starter/cell_test.go
@@ -334,6 +334,8 @@
 	for _, s := range c.servers {
 		_ = s.Close()
 	}
+	// What a stand-in still holds back ends by itself.
+	time.Sleep(time.Minute)
 }
 
 // wait waits until a condition holds.
