--- a/internal/core/decider/authority.go
+++ b/internal/core/decider/authority.go
@@ -1,8 +1,6 @@
 package decider
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"lentilrock.example/internal/cell/applier"
@@ -133,17 +131,7 @@
 
 // View returns what this host knows of the others of its data centre.
 func (d *Decider) View(now time.Time) claimer.View {
-	view := claimer.View{CanAppend: d.CanAppend(), Live: []descriptor.HostID{d.options.Self}}
-	for id, p := range d.peers {
-		isLive := p.dataCentre == d.options.DataCentre && now.Sub(p.heardAt) < d.options.Claims.Suspect
-		if isLive && id.Name != d.options.Self.Name {
-			view.Live = append(view.Live, id)
-		}
-	}
-	slices.SortFunc(view.Live, func(a, b descriptor.HostID) int {
-		return strings.Compare(a.String(), b.String())
-	})
-	return view
+	return claimer.View{CanAppend: d.CanAppend(), Live: d.peers.Live(now)}
 }
 
 // tickClaims moves the claims of this host forward.
--- a/internal/core/decider/decider.go
+++ b/internal/core/decider/decider.go
@@ -30,6 +30,7 @@
 	"lentilrock.example/internal/core/signaller"
 	"lentilrock.example/internal/core/snapshotter"
 	"lentilrock.example/internal/core/tracker"
+	"lentilrock.example/internal/core/watcher"
 )
 
 // Options are the settings of a core.
@@ -48,11 +49,6 @@
 // appendPause is how long the log counts as down after it refused an append.
 const appendPause = time.Second
 
-type peer struct {
-	dataCentre string
-	heardAt    time.Time
-}
-
 // Decider is the core of one entry host.
 type Decider struct {
 	options Options
@@ -67,7 +63,7 @@
 	admitter *admitter.Admitter
 	sizes    estimator.Estimator
 
-	peers     map[descriptor.HostID]peer
+	peers     *watcher.Watcher
 	hosts     []descriptor.Host
 	proposals map[string]bool
 	// held are the intents that this host holds as an heir, by key.
@@ -102,7 +98,7 @@
 		options:         options,
 		author:          recorder.Author{Name: options.Self.String()},
 		planner:         planner.New(options.Planner),
-		peers:           make(map[descriptor.HostID]peer),
+		peers:           watcher.New(options.Self, options.DataCentre, options.Claims.Suspect, options.Claims.Cap),
 		proposals:       make(map[string]bool),
 		held:            make(map[string]recorder.Intent),
 		renounced:       make(map[string]int64),
@@ -148,7 +144,7 @@
 	case signaller.OutcomeAnswered:
 		d.admitter.OutcomeAnswered(now, e, out)
 	case signaller.PeerHeard:
-		d.peers[e.Host] = peer{dataCentre: e.DataCentre, heardAt: now}
+		d.peers.Heard(now, e.Host, e.DataCentre)
 	case signaller.Proposed:
 		d.propose(e, out)
 	case signaller.RequestArrived:
