--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Prints the figures of docs/MEASUREMENTS.md: decisions, policy, latency, idle cost and
-# recovery. Each part can be run alone: scripts/bench.sh decide|policy|latency|idle|state|recovery
+# recovery. Each part can be run alone: scripts/bench.sh decide|policy|latency|urgent|idle|state|recovery
 set -uo pipefail
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
@@ -80,6 +80,23 @@
   end_cell
 }
 
+urgent() {
+  echo "== from the submit of an urgent job until its task runs (16 workers, 90% busy with batch)"
+  cell 16 1 16000 3
+  bin/lentilrock do --host "$first" "submit batch fill team lakeshore tasks 115 cores 2 memory 1Gi run_time 5m" >/dev/null
+  sleep 3
+  workers=$(bin/lentilrock do --host "$first" "show hosts where role = worker" | awk '$2 == "worker" {print $6}')
+  for i in $(seq 20); do
+    begun=$(date +%s%N)
+    bin/lentilrock do --host "$first" "submit batch urgent-$i team lakeshore cores 1 memory 1Gi run_time 1s priority urgent" >/dev/null
+    sleep 0.3
+    for address in $workers; do
+      bin/platform get "$address" /runs | grep -oE '"urgent-'"$i"'","index":0},"attempt":1,"began":"[^"]*"' | sed 's/.*"began":"//; s/"$//'
+    done | head -n 1 | while read -r at; do echo $((($(date -d "$at" +%s%N) - begun) / 1000000)); done
+  done | sort -n | awk '{a[NR] = $1} END {printf "%d of 20: median %d ms, longest %d ms\n", NR, a[int((NR + 1) / 2)], a[NR]}'
+  end_cell
+}
+
 # sample PID: processor time in ticks, and resident KiB.
 sample() { echo "$(awk '{print $14 + $15}' "/proc/$1/stat") $(awk '/VmRSS/ {print $2}' "/proc/$1/status")"; }
 bytes_of() { exec 3<>"/dev/tcp/${1%:*}/${1#*:}"; printf 'GET /metrics HTTP/1.0\r\n\r\n' >&3; cat <&3 | awk '/client_bytes|peer_bytes/ {n += $2} END {printf "%d", n}'; }
@@ -141,6 +158,6 @@
   done
 }
 
-for part in "${@:-decide policy latency idle state recovery}"; do
+for part in "${@:-decide policy latency urgent idle state recovery}"; do
   for p in $part; do "$p"; done
 done
