Order lengths of time as such, and refuse drains of what is not listed

Change: lengths of time compare as such; a drain names the nearest host; the reason says that the key was never set.

--- a/internal/cell/applier/state.go
+++ b/internal/cell/applier/state.go
@@ -190,6 +190,9 @@
 
 func (s *State) applyConfig(offset int64, r recorder.Record, c recorder.Config) Verdict {
 	present := s.Config[c.Key]
+	if c.Replaces != present.Version && present.Version == 0 {
+		return void("version %d is not the present one: the key was never set", c.Replaces)
+	}
 	if c.Replaces != present.Version {
 		v := void("version %d was replaced by version %d of %s", c.Replaces, present.Version, present.Author.Name)
 		v.Before = present.Value
--- a/internal/node/starter/fault_test.go
+++ b/internal/node/starter/fault_test.go
@@ -611,6 +611,7 @@
 			{"set quota.svacinka = 140", "percentage from 0 to 100"},
 			{"set colour = red", `key "colour" is unknown`},
 			{"cancel where state = running", "no open job matches"},
+			{"drain worker morava-brno-w9", "is not on the host list; did you mean morava-brno-w0?"},
 		}
 		for _, test := range tests {
 			reply := c.do(holder, test.statement)
--- a/internal/query/executor/change.go
+++ b/internal/query/executor/change.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/cell/recorder"
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/core/decider"
 	"lentilrock.example/internal/core/vetter"
 	"lentilrock.example/internal/peer/speaker"
@@ -28,6 +30,9 @@
 	case s.Cancel != nil:
 		return e.cancels(ctx, base, s.Cancel)
 	case s.Drain != nil:
+		if err := e.checkDrain(ctx, s.Drain); err != nil {
+			return nil, err
+		}
 		return e.setKey(ctx, base, drainKey(s.Drain), "true", nil)
 	case s.Quota != nil:
 		return e.setKey(ctx, base, decider.ConfigQuota+s.Quota.Team, s.Quota.Percent, s.Quota.Version)
@@ -46,6 +51,26 @@
 	return nil, errors.New("the statement changes nothing")
 }
 
+// checkDrain refuses to drain what the host list does not have.
+func (e *Executor) checkDrain(ctx context.Context, s *parser.Drain) error {
+	var known []string
+	e.options.Runner.Look(ctx, func(d *decider.Decider) {
+		for _, host := range d.Hosts() {
+			switch {
+			case s.Kind == "host" && host.Role == descriptor.RoleEntry,
+				s.Kind == "worker" && host.Role == descriptor.RoleWorker:
+				known = append(known, host.Name)
+			case s.Kind == "rack" && host.Role == descriptor.RoleWorker:
+				known = append(known, host.Rack)
+			}
+		}
+	})
+	if slices.Contains(known, s.Name) {
+		return nil
+	}
+	return errors.Newf("%s %q is not on the host list%s", s.Kind, s.Name, sorter.Suggest(s.Name, known))
+}
+
 func drainKey(d *parser.Drain) string {
 	return decider.ConfigDrain + d.Kind + "." + d.Name
 }
--- a/internal/query/tabler/table.go
+++ b/internal/query/tabler/table.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -76,8 +77,8 @@
 	return i, nil
 }
 
-// Where keeps the rows for which a condition holds. Values that are numbers on both sides
-// compare as numbers.
+// Where keeps the rows for which a condition holds. Values that are numbers, or lengths of
+// time, on both sides compare as such.
 func (t *Table) Where(name string, operator Operator, value string) error {
 	i, err := t.column(name)
 	if err != nil {
@@ -116,6 +117,11 @@
 	if leftErr == nil && rightErr == nil {
 		return cmp.Compare(left, right)
 	}
+	shorter, shorterErr := time.ParseDuration(a)
+	longer, longerErr := time.ParseDuration(b)
+	if shorterErr == nil && longerErr == nil {
+		return cmp.Compare(shorter, longer)
+	}
 	return cmp.Compare(a, b)
 }
 
