Let records gather as long as a setting says; one handler sets the stand-ins' faults

Cause: docs/CAPACITY.md names the batches of intents as what breaks first, and their length was fixed; four stand-ins decoded their faults in the same lines. Change: log.batch (2 ms as before); responder.Setter.

--- a/internal/node/appender/appender.go
+++ b/internal/node/appender/appender.go
@@ -31,9 +31,7 @@
 	// maxBatch bounds the records of one append.
 	maxBatch      = 2_000
 	appendTimeout = 2 * time.Second
-	// batchPause lets records gather, so that the log takes few appends.
-	batchPause = 2 * time.Millisecond
-	retryPause = 200 * time.Millisecond
+	retryPause    = 200 * time.Millisecond
 )
 
 // Core takes events.
@@ -50,6 +48,8 @@
 	Clock  clockwork.Clock
 	Logger *zap.Logger
 	Core   Core
+	// Batch is how long records gather, so that the log takes few appends.
+	Batch time.Duration
 	// Self is the author of snapshots.
 	Self descriptor.HostID
 }
@@ -99,7 +99,7 @@
 		if !ok {
 			return
 		}
-		a.pause(ctx, batchPause)
+		a.pause(ctx, a.options.Batch)
 		batches := map[string][]recorder.Record{first.Stream: first.Records}
 		streams := []string{first.Stream}
 		for count := len(first.Records); count < maxBatch; {
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -106,6 +106,7 @@
 	}
 	r.appends = appender.New(appender.Options{
 		Log: options.Log, Clock: options.Clock, Logger: options.Logger, Core: r, Self: self,
+		Batch: options.Settings.AppendBatch,
 	})
 	r.links = linker.New(linker.Options{Workers: options.Workers, Clock: options.Clock, Core: r})
 	r.reads = follower.New(follower.Options{
--- a/internal/settings/checker/checker.go
+++ b/internal/settings/checker/checker.go
@@ -121,6 +121,7 @@
 		MaxAnswer:      int(r.number("limits.max_answer_bytes", DefaultMaxAnswer, 1, 1<<30)),
 		ShutdownGrace:  r.duration("limits.shutdown_grace", DefaultShutdownGrace, time.Millisecond, time.Hour),
 		DefaultTimeout: r.duration("limits.default_timeout", DefaultRequestTimeout, time.Millisecond, time.Hour),
+		AppendBatch:    r.duration("log.batch", DefaultAppendBatch, 0, time.Second),
 		LogLevel:       r.choice("logging.level", "info", "debug", "error", "info", "warn"),
 		Pprof:          r.flag("debug.pprof"),
 		SnapshotEvery:  r.number("log.snapshot_every", snapshotter.DefaultEvery, 10, 1<<30),
--- a/internal/settings/checker/settings.go
+++ b/internal/settings/checker/settings.go
@@ -42,8 +42,10 @@
 	ShutdownGrace time.Duration
 	// DefaultTimeout is the deadline of a request that states none.
 	DefaultTimeout time.Duration
-	LogLevel       string
-	Pprof          bool
+	// AppendBatch is how long records gather before they are appended.
+	AppendBatch time.Duration
+	LogLevel    string
+	Pprof       bool
 	// SnapshotEvery is how many records of a stream lie between two snapshots.
 	SnapshotEvery int64
 }
@@ -54,4 +56,5 @@
 	DefaultMaxAnswer      = 4 << 20
 	DefaultShutdownGrace  = 20 * time.Second
 	DefaultRequestTimeout = 10 * time.Second
+	DefaultAppendBatch    = 2 * time.Millisecond
 )
--- a/internal/standin/lister/lister.go
+++ b/internal/standin/lister/lister.go
@@ -57,7 +57,7 @@
 	mux.HandleFunc("PUT /v1/hosts", l.put)
 	mux.HandleFunc("DELETE /v1/hosts/{name}", l.remove)
 	mux.HandleFunc("POST /v1/hosts/{name}/leave", l.leave)
-	mux.HandleFunc("POST /fault", l.setDown)
+	mux.HandleFunc("POST /fault", responder.Setter(maxBody, l.SetDown))
 	return mux
 }
 
@@ -149,14 +149,9 @@
 	responder.JSON(w, http.StatusOK, "removed")
 }
 
-func (l *Lister) setDown(w http.ResponseWriter, r *http.Request) {
-	down, err := responder.Read[bool](r, maxBody)
-	if err != nil {
-		responder.Fail(w, http.StatusBadRequest, err)
-		return
-	}
+// SetDown makes the list answer nothing, or lets it answer again.
+func (l *Lister) SetDown(down bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.down = down
-	l.mu.Unlock()
-	responder.JSON(w, http.StatusOK, "set")
 }
--- a/internal/standin/logger/logger.go
+++ b/internal/standin/logger/logger.go
@@ -62,7 +62,7 @@
 	mux.HandleFunc("GET /v1/streams/{stream}/records", l.read)
 	mux.HandleFunc("POST /v1/streams/{stream}/records", l.append)
 	mux.HandleFunc("POST /v1/streams/{stream}/trim", l.trim)
-	mux.HandleFunc("POST /fault", l.setFault)
+	mux.HandleFunc("POST /fault", responder.Setter(maxBody, l.SetFault))
 	mux.HandleFunc("GET /appends", l.countAppends)
 	return mux
 }
@@ -227,13 +227,3 @@
 	l.Trim(r.PathValue("stream"), before)
 	responder.JSON(w, http.StatusOK, "trimmed")
 }
-
-func (l *Logger) setFault(w http.ResponseWriter, r *http.Request) {
-	fault, err := responder.Read[messages.LogFault](r, maxBody)
-	if err != nil {
-		responder.Fail(w, http.StatusBadRequest, err)
-		return
-	}
-	l.SetFault(fault)
-	responder.JSON(w, http.StatusOK, "set")
-}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -53,7 +53,7 @@
 	mux.HandleFunc("POST /v1/run", u.run)
 	mux.HandleFunc("GET /v1/outcomes/{id}", u.outcome)
 	mux.HandleFunc("GET /v1/load", u.load)
-	mux.HandleFunc("POST /fault", u.setFault)
+	mux.HandleFunc("POST /fault", responder.Setter(maxBody, u.SetFault))
 	mux.HandleFunc("GET /runs", u.getRuns)
 	return mux
 }
@@ -192,16 +192,6 @@
 	responder.JSON(w, http.StatusOK, messages.Load{Busy: u.busy})
 }
 
-func (u *Upstream) setFault(w http.ResponseWriter, r *http.Request) {
-	fault, err := responder.Read[messages.UpstreamFault](r, maxBody)
-	if err != nil {
-		responder.Fail(w, http.StatusBadRequest, err)
-		return
-	}
-	u.SetFault(fault)
-	responder.JSON(w, http.StatusOK, "set")
-}
-
 func (u *Upstream) getRuns(w http.ResponseWriter, _ *http.Request) {
 	responder.JSON(w, http.StatusOK, u.Runs())
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -60,7 +60,7 @@
 	mux.HandleFunc("POST /v1/heartbeat", w.heartbeat)
 	mux.HandleFunc("POST /v1/stop", w.stop)
 	mux.HandleFunc("POST /v1/throttle", w.throttle)
-	mux.HandleFunc("POST /fault", w.setFault)
+	mux.HandleFunc("POST /fault", responder.Setter(maxBody, w.SetFault))
 	mux.HandleFunc("GET /runs", w.getRuns)
 	return mux
 }
@@ -268,16 +268,6 @@
 	responder.JSON(rw, http.StatusOK, "throttled")
 }
 
-func (w *Worker) setFault(rw http.ResponseWriter, r *http.Request) {
-	fault, err := responder.Read[messages.WorkerFault](r, maxBody)
-	if err != nil {
-		responder.Fail(rw, http.StatusBadRequest, err)
-		return
-	}
-	w.SetFault(fault)
-	responder.JSON(rw, http.StatusOK, "set")
-}
-
 func (w *Worker) getRuns(rw http.ResponseWriter, _ *http.Request) {
 	responder.JSON(rw, http.StatusOK, w.Runs())
 }
--- a/internal/web/responder/responder.go
+++ b/internal/web/responder/responder.go
@@ -71,3 +71,17 @@
 	}
 	return value, nil
 }
+
+// Setter returns a handler that decodes a JSON body of at most limit bytes and hands it to
+// set.
+func Setter[T any](limit int64, set func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		value, err := Read[T](r, limit)
+		if err != nil {
+			Fail(w, http.StatusBadRequest, err)
+			return
+		}
+		set(value)
+		JSON(w, http.StatusOK, "set")
+	}
+}
