--- a/internal/core/admitter/admitter.go
+++ b/internal/core/admitter/admitter.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	a := admitter.New(limiter.Options{}, self, authority, log)
+//	a := admitter.New(limiter.Options{}, self, layout, authority, log)
 //	a.SetUpstreams(hosts)
 //	a.Arrive(now, event, &out)
 //	a.Ended(now, dispatchEnded, &out)
--- a/internal/core/tracker/tracker.go
+++ b/internal/core/tracker/tracker.go
@@ -8,8 +8,8 @@
 //
 // # Usage
 //
-//	t := tracker.New(pacer.Options{}, plan, authority, jobs)
-//	t.SetWorkers(now, hosts)
+//	t := tracker.New(pacer.Options{}, plan, authority, jobs, sizes)
+//	t.SetWorkers(now, sentAt, hosts, shardOf)
 //	t.Acquire(now, shard)
 //	t.WorkerAnswered(now, event, &out)
 //	t.Tick(now, &out)
