--- a/internal/cell/applier/applier_test.go
+++ b/internal/cell/applier/applier_test.go
@@ -1,7 +1,9 @@
 package applier
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +15,14 @@
 	"lentilrock.example/internal/cell/recorder"
 )
 
+// TestMain fixes the seed of the random sequences, so that each run has the same verdict.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func set(key, value string, replaces int64) recorder.Record {
 	return recorder.New(key+value, time.Unix(0, 0).UTC(), recorder.Author{Name: "op"},
 		recorder.Config{Key: key, Value: value, Replaces: replaces})
