Read the whole change again: drop what nothing calls, derive what was kept twice

Cause: reading the change once more. Found and mended, behaviour as it was: - pause stood in four packages of the node; pauser has it once. - the admitter counted its queue beside the queue's own length. - the core worked out the default of a lease by itself; the options' WithDefaults gives it. - the planner's reserve for urgent work was a setting that nobody could set; it was never in force, and evictions do its work. - nothing called CanEverFit, CountTaking, CountWaiting, CountRunning, Services, Queued, States, Items and, since Try, Fire.

--- a/internal/chart/interpreter/chart.go
+++ b/internal/chart/interpreter/chart.go
@@ -1,7 +1,7 @@
 // Package interpreter reads state charts from text and runs machines by them.
 //
 // A chart is a list of lines "state event next", with "#" for comments; the first
-// state named is the start. An event that a state does not list is an error, so a
+// state named is the start. An event that a state does not list moves nothing, so a
 // chart also documents what can't happen.
 //
 // # Usage
@@ -11,7 +11,7 @@
 //
 //	chart, err := interpreter.Parse("claim", text)
 //	machine := chart.Machine()
-//	err = machine.Fire("claim_sent")
+//	moved := machine.Try("claim_sent")
 package interpreter
 
 import (
@@ -83,21 +83,6 @@
 	return nil
 }
 
-// States lists the states of the chart by name.
-func (c *Chart) States() []State {
-	seen := map[State]bool{}
-	for s, next := range c.next {
-		seen[s.state] = true
-		seen[next] = true
-	}
-	var states []State
-	for s := range seen {
-		states = append(states, s)
-	}
-	slices.Sort(states)
-	return states
-}
-
 // Machine returns a machine in the chart's first state.
 func (c *Chart) Machine() Machine {
 	return Machine{chart: c, state: c.start}
@@ -134,14 +119,3 @@
 	}
 	return found
 }
-
-// Fire moves to the state that the event leads to. It returns an error, and stays,
-// where the present state does not list the event.
-func (m *Machine) Fire(event Event) error {
-	next, found := m.chart.next[step{m.state, event}]
-	if !found {
-		return errors.Newf("chart %s has no event %s in state %s", m.chart.name, event, m.state)
-	}
-	m.state = next
-	return nil
-}
--- a/internal/container/prioritizer/prioritizer.go
+++ b/internal/container/prioritizer/prioritizer.go
@@ -45,9 +45,6 @@
 	return q.items.list[0], true
 }
 
-// Items returns the items in no order; the caller must not change them.
-func (q *Queue[T]) Items() []T { return q.items.list }
-
 type items[T any] struct {
 	list   []T
 	isLess func(a, b T) bool
--- a/internal/core/admitter/admitter.go
+++ b/internal/core/admitter/admitter.go
@@ -134,7 +134,6 @@
 
 type service struct {
 	queue   *prioritizer.Queue[*request]
-	queued  int
 	retries budgeter.Budget
 }
 
@@ -191,14 +190,6 @@
 	return count
 }
 
-// Queued returns how many requests of a service wait for a slot.
-func (a *Admitter) Queued(name string) int {
-	if s, found := a.services[name]; found {
-		return s.queued
-	}
-	return 0
-}
-
 func (a *Admitter) service(name string) *service {
 	s, found := a.services[name]
 	if !found {
@@ -309,7 +300,7 @@
 		a.refuse(e.Ref, e.Key, "no upstream serves "+e.Service+" in "+shard.DataCentre, out)
 		return
 	}
-	if s.queued >= a.options.MaxQueued {
+	if s.queue.Len() >= a.options.MaxQueued {
 		a.refuse(e.Ref, e.Key, "the queue of "+e.Service+" is full", out)
 		return
 	}
@@ -325,13 +316,8 @@
 		dispatcher: a.self,
 	}
 	a.requests[r.key] = r
-	a.enqueue(s, r)
-	a.serve(now, s, out)
-}
-
-func (a *Admitter) enqueue(s *service, r *request) {
 	s.queue.Push(r)
-	s.queued++
+	a.serve(now, s, out)
 }
 
 func (a *Admitter) refuse(ref uint64, key, reason string, out *signaller.Outbox) {
--- a/internal/core/admitter/dispatch.go
+++ b/internal/core/admitter/dispatch.go
@@ -37,7 +37,6 @@
 		}
 		if !r.is(stateQueued) {
 			s.queue.Pop()
-			s.queued--
 			continue
 		}
 		upstream, hasSlot := a.choose(now, r)
@@ -45,7 +44,6 @@
 			return
 		}
 		s.queue.Pop()
-		s.queued--
 		a.begin(now, r, upstream.Name, out)
 	}
 }
--- a/internal/core/admitter/settle.go
+++ b/internal/core/admitter/settle.go
@@ -76,7 +76,7 @@
 	if canRetry && a.service(r.service).retries.Spend() {
 		a.counts.Retried++
 		r.fire(eventNotSent)
-		a.enqueue(a.service(r.service), r)
+		a.service(r.service).queue.Push(r)
 		return
 	}
 	r.fire(eventNoneLeft)
--- a/internal/core/decider/authority.go
+++ b/internal/core/decider/authority.go
@@ -64,14 +64,7 @@
 		return true
 	}
 	at, found := d.promises[promiseKey(c, worker)]
-	return found && now.Sub(at) > d.lease()
-}
-
-func (d *Decider) lease() time.Duration {
-	if d.options.Tracker.Lease > 0 {
-		return d.options.Tracker.Lease
-	}
-	return defaultLease
+	return found && now.Sub(at) > d.options.Tracker.Lease
 }
 
 // promiseKey names a worker together with the heir that renounced it.
@@ -171,7 +164,7 @@
 	if former.IsZero() || former == next || former == d.options.Self || d.View(now).HasEnded(former) {
 		return
 	}
-	d.formerHeirUntil[c.Shard()] = now.Add(d.options.Claims.Cap + d.lease())
+	d.formerHeirUntil[c.Shard()] = now.Add(d.options.Claims.Cap + d.options.Tracker.Lease)
 }
 
 // askAboutMatters asks the heir to hold intents that the log lacks, and to renounce
--- a/internal/core/decider/decider.go
+++ b/internal/core/decider/decider.go
@@ -94,6 +94,7 @@
 // New returns a core that knows nothing of its cell yet.
 func New(options Options) *Decider {
 	options.Claims = options.Claims.WithDefaults()
+	options.Tracker = options.Tracker.WithDefaults()
 	d := &Decider{
 		options:         options,
 		author:          recorder.Author{Name: options.Self.String()},
--- a/internal/core/decider/log.go
+++ b/internal/core/decider/log.go
@@ -9,13 +9,10 @@
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/cell/recorder"
 	"lentilrock.example/internal/container/sorter"
-	"lentilrock.example/internal/core/pacer"
 	"lentilrock.example/internal/core/signaller"
 	"lentilrock.example/internal/core/vetter"
 )
 
-const defaultLease = pacer.DefaultLease
-
 // endsInterval is the time between two appends of ends, so that the log takes few of them
 // however many tasks end.
 const endsInterval = 500 * time.Millisecond
--- a/internal/core/placer/placer.go
+++ b/internal/core/placer/placer.go
@@ -240,28 +240,6 @@
 	return best.host.Name, true
 }
 
-// CanEverFit reports whether some worker would have the room if it were empty.
-func (p *Pool) CanEverFit(need Need) bool {
-	for _, r := range p.rooms {
-		empty := room{host: r.host}
-		if empty.takes(Need{Size: need.Size, Racks: need.Racks}) {
-			return true
-		}
-	}
-	return false
-}
-
-// CountTaking returns how many open workers have the room now.
-func (p *Pool) CountTaking(need Need) int {
-	count := 0
-	for _, r := range p.rooms {
-		if r.takes(need) {
-			count++
-		}
-	}
-	return count
-}
-
 // CountFitting returns how many tasks of a size an empty worker takes.
 func CountFitting(size, capacity descriptor.Size) int {
 	count := int64(math.MaxInt32)
--- a/internal/core/planner/planner.go
+++ b/internal/core/planner/planner.go
@@ -36,15 +36,12 @@
 	AgeStep time.Duration
 	// ReserveAfter is the waiting time after which a job gets workers reserved.
 	ReserveAfter time.Duration
-	// UrgentReserve is the fraction of the cell that is kept free for urgent jobs.
-	UrgentReserve float64
 }
 
 // Defaults of Options.
 const (
-	DefaultAgeStep       = 6 * time.Second
-	DefaultReserveAfter  = 30 * time.Second
-	DefaultUrgentReserve = 0.0
+	DefaultAgeStep      = 6 * time.Second
+	DefaultReserveAfter = 30 * time.Second
 )
 
 const (
@@ -329,18 +326,6 @@
 	return len(w.pending), w.since, w.reason
 }
 
-// CountWaiting returns how many tasks wait.
-func (p *Planner) CountWaiting() int {
-	count := 0
-	for _, w := range p.jobs {
-		count += len(w.pending)
-	}
-	return count
-}
-
-// CountRunning returns how many tasks hold room.
-func (p *Planner) CountRunning() int { return len(p.tasks) }
-
 // TeamUse is what a team uses of its quota.
 type TeamUse struct {
 	Team    string
--- a/internal/core/planner/round.go
+++ b/internal/core/planner/round.go
@@ -55,9 +55,6 @@
 
 // planTeams gives one job at a time to the team furthest below its quota.
 func (p *Planner) planTeams(r *round) {
-	if !p.hasRoomBeyondReserve() {
-		return
-	}
 	for !r.isOver() {
 		teams := p.sortedTeams()
 		if len(teams) == 0 {
@@ -68,13 +65,6 @@
 	}
 }
 
-func (p *Planner) hasRoomBeyondReserve() bool {
-	if p.options.UrgentReserve <= 0 {
-		return true
-	}
-	return p.pool.Used().Share(p.pool.Capacity()) < 1-p.options.UrgentReserve
-}
-
 // try places what it can of a job that was taken from its queue.
 func (p *Planner) try(r *round, w *waiting) {
 	w.queued = false
--- a/internal/core/slotter/slotter.go
+++ b/internal/core/slotter/slotter.go
@@ -109,9 +109,6 @@
 // Names lists the upstreams of a service, by name.
 func (s *Slots) Names(service string) []string { return s.services[service] }
 
-// Services lists the services with upstreams, by name.
-func (s *Slots) Services() []string { return sorter.Keys(s.services) }
-
 // Host returns an upstream.
 func (s *Slots) Host(name string) (descriptor.Host, bool) {
 	u, found := s.upstreams[name]
--- a/internal/node/appender/appender.go
+++ b/internal/node/appender/appender.go
@@ -22,6 +22,7 @@
 	"lentilrock.example/internal/cell/recorder"
 	"lentilrock.example/internal/container/buffer"
 	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/node/pauser"
 	"lentilrock.example/internal/platform/connector"
 )
 
@@ -99,7 +100,7 @@
 		if !ok {
 			return
 		}
-		a.pause(ctx, a.options.Batch)
+		pauser.Pause(ctx, a.options.Clock, a.options.Batch)
 		batches := map[string][]recorder.Record{first.Stream: first.Records}
 		streams := []string{first.Stream}
 		for count := len(first.Records); count < maxBatch; {
@@ -142,14 +143,7 @@
 			return
 		}
 		isUnknown = true
-		a.pause(ctx, retryPause)
-	}
-}
-
-func (a *Appender) pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-a.options.Clock.After(wait):
-	case <-ctx.Done():
+		pauser.Pause(ctx, a.options.Clock, retryPause)
 	}
 }
 
--- a/internal/node/follower/follower.go
+++ b/internal/node/follower/follower.go
@@ -21,6 +21,7 @@
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/cell/recorder"
 	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/node/pauser"
 	"lentilrock.example/internal/platform/connector"
 	"lentilrock.example/internal/platform/messages"
 )
@@ -137,16 +138,7 @@
 	}
 	f.options.Logger.Debug("log: A read failed.", zap.String("stream", stream), zap.String("error", err.Error()))
 	f.options.Core.Put(ctx, signaller.LogFailed{Stream: stream})
-	f.pause(ctx, retryPause)
-}
-
-func (f *Follower) pause(ctx context.Context, wait time.Duration) {
-	timer := f.options.Clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-ctx.Done():
-	}
+	pauser.Pause(ctx, f.options.Clock, retryPause)
 }
 
 // restore hands the newest snapshot of a stream to the core, where it is ahead of next,
@@ -204,6 +196,6 @@
 			f.options.Listed(hosts)
 			f.options.Core.Put(ctx, signaller.HostsListed{SentAt: sentAt, Hosts: hosts})
 		}
-		f.pause(ctx, listPause)
+		pauser.Pause(ctx, f.options.Clock, listPause)
 	}
 }
--- a/internal/node/runner/peer.go
+++ b/internal/node/runner/peer.go
@@ -9,6 +9,7 @@
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/node/pauser"
 	"lentilrock.example/internal/peer/messenger"
 	"lentilrock.example/internal/peer/speaker"
 )
@@ -93,7 +94,7 @@
 		for _, entry := range r.entriesOf(r.options.Settings.DataCentre) {
 			go r.greet(ctx, entry)
 		}
-		r.pause(ctx, greetPause)
+		pauser.Pause(ctx, r.options.Clock, greetPause)
 	}
 }
 
--- a/internal/node/runner/request.go
+++ b/internal/node/runner/request.go
@@ -9,6 +9,7 @@
 
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/core/signaller"
+	"lentilrock.example/internal/node/pauser"
 	"lentilrock.example/internal/peer/messenger"
 	"lentilrock.example/internal/peer/speaker"
 	"lentilrock.example/internal/platform/connector"
@@ -52,7 +53,7 @@
 			last = answer
 		}
 		mayHaveRun = mayHaveRun || errors.Is(err, messenger.ErrLost)
-		r.pause(ctx, routePause)
+		pauser.Pause(ctx, r.options.Clock, routePause)
 	}
 	if mayHaveRun || !isHome {
 		last.State = signaller.AnswerNotKnownYet
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -301,10 +301,3 @@
 func (r *Runner) Leave(ctx context.Context) {
 	r.Put(ctx, signaller.Left{})
 }
-
-func (r *Runner) pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-r.options.Clock.After(wait):
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/starter/starter.go
+++ b/internal/node/starter/starter.go
@@ -26,6 +26,7 @@
 	"lentilrock.example/internal/core/signaller"
 	"lentilrock.example/internal/metrics/collector"
 	"lentilrock.example/internal/node/listener"
+	"lentilrock.example/internal/node/pauser"
 	"lentilrock.example/internal/node/runner"
 	"lentilrock.example/internal/peer/messenger"
 	"lentilrock.example/internal/platform/connector"
@@ -212,7 +213,7 @@
 	grace, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), n.options.Clock, n.options.Settings.ShutdownGrace)
 	defer cancel()
 	n.listener.Leave()
-	n.pause(grace, leaveDelay)
+	pauser.Pause(grace, n.options.Clock, leaveDelay)
 	n.runner.Leave(grace)
 	for !n.hasLeft() {
 		select {
@@ -242,13 +243,6 @@
 	return reason
 }
 
-func (n *Node) pause(ctx context.Context, wait time.Duration) {
-	select {
-	case <-n.options.Clock.After(wait):
-	case <-ctx.Done():
-	}
-}
-
 // kill closes the node's doors without a word, as the death of its process would.
 func (n *Node) kill() {
 	// There is nobody to tell of an error: the host is gone.
