Serve the users' platform through platform/: the whole path, thin

Cause: lentilrock spoke only to its own stand-ins. The users' machines have a store with fenced appends and workers that keep a fencing token.

Change: a second kind of entry host. internal/work holds its domain and core (describer, journaler, orderer, ranker, dispatcher), internal/entry the host around it (storer, keeper). One host holds the claim; its epoch fences its appends and its orders. platform/ translates.

Ruled out: windows and heirs for this platform, since the token makes them needless.

--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -29,6 +29,7 @@
 type commands struct {
 	Check   checkCommand   `cmd:"" help:"Check a settings file and report every fault."`
 	Do      doCommand      `cmd:"" help:"Run statements of the query and command language."`
+	Entry   entryCommand   `cmd:"" help:"Run an entry host on the platform that fills in its settings."`
 	Replay  replayCommand  `cmd:"" help:"Play recorded traces and check their outcomes."`
 	Request requestCommand `cmd:"" help:"Send a request to a service as a caller."`
 	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
--- /dev/null
+++ b/internal/entry/keeper/elect.go
@@ -0,0 +1,143 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/node/pauser"
+	"lentilrock.example/internal/work/journaler"
+)
+
+const (
+	// beatEvery is how often a holder without other records shows that it lives.
+	beatEvery = 400 * time.Millisecond
+	// holderSilence is when a holder that is not heard in the log is replaced: several beats
+	// and a slow append fit in.
+	holderSilence = 1600 * time.Millisecond
+	// electEvery is how often a host looks whether to claim.
+	electEvery = 50 * time.Millisecond
+	// claimTimeout bounds the append of a claim.
+	claimTimeout = time.Second
+	// claimPause separates a host's claims.
+	claimPause = 400 * time.Millisecond
+	// delayWeight makes hosts near the store claim first.
+	delayWeight = 4
+	// maxRankDelay bounds the handicap of hosts far from the store.
+	maxRankDelay = 600 * time.Millisecond
+	// rankSpread separates hosts of one data centre.
+	rankSpread = 60 * time.Millisecond
+	// maxReadAge is how old the view of the log may be for a claim.
+	maxReadAge = readWait + 300*time.Millisecond
+)
+
+// elect claims the cell when it has no holder.
+func (k *Keeper) elect(ctx context.Context) {
+	for ctx.Err() == nil {
+		pauser.Pause(ctx, k.options.Clock, electEvery)
+		k.mu.Lock()
+		epoch, reason := k.wantsClaim(k.now())
+		k.mu.Unlock()
+		if reason == "" {
+			continue
+		}
+		k.claim(ctx, epoch, reason)
+		pauser.Pause(ctx, k.options.Clock, claimPause)
+	}
+}
+
+// wantsClaim returns the epoch to claim and why, or no reason.
+func (k *Keeper) wantsClaim(now time.Time) (int64, string) {
+	if k.leaving || k.holder != nil || !k.knowsCell() || now.Sub(k.freshAt) > maxReadAge || k.listedAt.IsZero() {
+		return 0, ""
+	}
+	claim := k.state.Claim
+	quiet := now.Sub(later(k.beatAt, k.failedAt))
+	switch {
+	case claim.Epoch == 0 && quiet > k.rankDelay():
+		return 1, "there is no holder yet"
+	case claim.Host == k.options.Name && claim.Incarnation != k.options.Incarnation:
+		return claim.Epoch + 1, "the holder was a former life of this host"
+	case claim.Released && quiet > k.rankDelay():
+		return claim.Epoch + 1, "the holder left"
+	case quiet > holderSilence+k.rankDelay():
+		return claim.Epoch + 1, "the holder is silent"
+	}
+	return 0, ""
+}
+
+// rankDelay is this host's handicap: the nearer the store, the sooner it claims.
+func (k *Keeper) rankDelay() time.Duration {
+	spread := time.Duration(xxhash.Sum64String(k.options.Name) % uint64(rankSpread))
+	return min(delayWeight*k.storeDelay, maxRankDelay) + spread
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// claim appends a claim. Whether it won is read from the log.
+func (k *Keeper) claim(ctx context.Context, epoch int64, reason string) {
+	record, err := journaler.NewClaim(journaler.Claim{Epoch: epoch, Host: k.options.Name, Incarnation: k.options.Incarnation})
+	if err != nil {
+		k.options.Logger.Error("claim: Can't be encoded.", zap.String("error", err.Error()))
+		return
+	}
+	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	_, err = k.options.Store.Append(claiming, storer.Append{Records: []journaler.Record{record}, Epoch: epoch})
+	outcome := "appended"
+	if err != nil {
+		outcome = err.Error()
+	}
+	k.options.Logger.Info("claim: Claimed.", zap.Int64("epoch", epoch), zap.String("reason", reason), zap.String("outcome", outcome))
+}
+
+// followClaim takes the cell up or gives it up as the log says.
+func (k *Keeper) followClaim(now time.Time) {
+	claim := k.state.Claim
+	isMine := claim.Host == k.options.Name && claim.Incarnation == k.options.Incarnation && !claim.Released
+	switch {
+	case isMine && claim.Epoch > k.lastEpoch && !k.leaving:
+		k.lastEpoch = claim.Epoch
+		k.resign("A later claim of this host is in force.")
+		k.hold(now, claim)
+	case !isMine && k.holder != nil && claim.Epoch >= k.holder.epoch:
+		k.resign("Another host has the claim.")
+	}
+}
+
+// announce tells the peers where this host is.
+func (k *Keeper) announce(ctx context.Context) {
+	record, err := journaler.NewHost(journaler.Host{
+		Name: k.options.Name, Incarnation: k.options.Incarnation,
+		Address: k.options.PeerAddress.String(), DataCentre: k.options.DataCentre,
+	})
+	if err != nil {
+		k.options.Logger.Error("host: Can't be announced.", zap.String("error", err.Error()))
+		return
+	}
+	for ctx.Err() == nil {
+		began := k.now()
+		appending, cancel := context.WithTimeout(ctx, claimTimeout)
+		_, err := k.options.Store.Append(appending, storer.Append{Records: []journaler.Record{record}})
+		cancel()
+		if err == nil {
+			k.mu.Lock()
+			k.storeDelay = k.now().Sub(began)
+			k.mu.Unlock()
+			return
+		}
+		if !errors.Is(err, storer.ErrRefused) {
+			k.options.Logger.Warn("host: Was not announced.", zap.String("error", err.Error()))
+		}
+		pauser.Pause(ctx, k.options.Clock, claimPause)
+	}
+}
--- /dev/null
+++ b/internal/entry/keeper/keeper.go
@@ -0,0 +1,178 @@
+// Package keeper is an entry host on a platform whose store keeps what must last: it takes
+// jobs in, follows the cell's log, and, while it holds the claim, orders at the workers.
+//
+// Every host folds the same log, so any of them answers for any job. One host at a time
+// holds the claim; its epoch is the fencing token of all orders. A holder that falls silent
+// in the log is replaced by whichever host appends the next claim first.
+//
+// # Usage
+//
+//	k := keeper.New(keeper.Options{Name: name, Store: store, Workers: workers, Clock: clock})
+//	go k.Run(ctx)
+//	err := k.Submit(ctx, job)
+//	status, err := k.Status(ctx, job.ID)
+package keeper
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"lentilrock.example/internal/container/buffer"
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/peer/messenger"
+	"lentilrock.example/internal/work/describer"
+	"lentilrock.example/internal/work/dispatcher"
+	"lentilrock.example/internal/work/journaler"
+	"lentilrock.example/internal/work/orderer"
+)
+
+// Errors of the calls of callers.
+var (
+	// ErrNotReady means that the host does not know its cell yet.
+	ErrNotReady = errors.New("the host does not know its cell yet")
+	// ErrNoJob means that there is no such job.
+	ErrNoJob = errors.New("there is no such job")
+	// ErrNotKnown means that the outcome is open.
+	ErrNotKnown = errors.New("the outcome is not known yet")
+	// ErrRefused means that nothing was done.
+	ErrRefused = errors.New("the store takes nothing now")
+)
+
+// Decoder reads the entries that others write into the store.
+type Decoder interface {
+	// Config returns false where a key holds no configuration.
+	Config(key string, value []byte) (describer.Config, bool, error)
+	Worker(id string, value []byte) (describer.Worker, error)
+}
+
+// Workers carries orders to workers.
+type Workers interface {
+	Look(ctx context.Context, look orderer.Look) (orderer.Inventory, orderer.Verdict)
+	Pace(ctx context.Context, pace orderer.Pace) orderer.Verdict
+	Start(ctx context.Context, start orderer.Start) orderer.Verdict
+	Stop(ctx context.Context, stop orderer.Stop) orderer.Verdict
+}
+
+// Advisor says which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, question orderer.Advise) (orderer.Advice, error)
+}
+
+// Options are what a keeper is made from.
+type Options struct {
+	Name        string
+	Incarnation string
+	DataCentre  string
+	PeerAddress netip.AddrPort
+	Store       storer.Store
+	Decoder     Decoder
+	Workers     Workers
+	Advisor     Advisor
+	Messenger   *messenger.Messenger
+	Clock       clockwork.Clock
+	Logger      *zap.Logger
+	Dispatch    dispatcher.Options
+}
+
+const (
+	// submissionRing bounds the submissions that wait for the store.
+	submissionRing = 1024
+	// submitters append side by side, so that one slow answer does not hold up the others.
+	submitters = 4
+)
+
+// Keeper is an entry host.
+type Keeper struct {
+	options     Options
+	submissions *buffer.Ring[*submission]
+	lanes       *lanes
+
+	mu     sync.Mutex
+	state  *journaler.State
+	config describer.Config
+	// listed are the workers of the host list; missing those that left it lately.
+	listed map[string]describer.Worker
+	// freshAt is when the last read of the cell's log that succeeded was answered.
+	freshAt time.Time
+	// beatAt is when the holder was last heard, failedAt when a read last failed.
+	beatAt     time.Time
+	failedAt   time.Time
+	heardTo    int64
+	listedAt   time.Time
+	holder     *holder
+	lastEpoch  int64
+	leaving    bool
+	storeDelay time.Duration
+}
+
+// New returns a keeper that knows nothing yet.
+func New(options Options) *Keeper {
+	if options.Clock == nil {
+		options.Clock = clockwork.NewRealClock()
+	}
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
+	k := &Keeper{
+		options: options, submissions: buffer.New[*submission](submissionRing),
+		state: journaler.New(), listed: make(map[string]describer.Worker), heardTo: -1,
+	}
+	k.lanes = newLanes(k)
+	if options.Messenger != nil {
+		messenger.Handle(options.Messenger, adviseKind, k.adviseForPeer)
+	}
+	return k
+}
+
+// Run follows the store and takes part in the cell until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var duties sync.WaitGroup
+	for range submitters {
+		duties.Go(func() { k.submitLoop(ctx) })
+	}
+	for _, f := range k.followers() {
+		duties.Go(func() { f.run(ctx) })
+	}
+	duties.Go(func() { k.announce(ctx) })
+	duties.Go(func() { k.elect(ctx) })
+	duties.Wait()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.resign("The host ends.")
+}
+
+// IsReady reports whether the host can answer callers.
+func (k *Keeper) IsReady() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.leaving && k.knowsCell()
+}
+
+// knowsCell reports whether the configuration and the log were read once.
+func (k *Keeper) knowsCell() bool { return k.config.Version > 0 && !k.freshAt.IsZero() }
+
+// Config returns the newest configuration; its version is 0 before the first.
+func (k *Keeper) Config() describer.Config {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.config
+}
+
+func (k *Keeper) now() time.Time { return k.options.Clock.Now() }
+
+// Leave gives the claim back and reports the host as not ready.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.mu.Lock()
+	k.leaving = true
+	h := k.holder
+	k.mu.Unlock()
+	if h != nil {
+		h.release(ctx)
+	}
+}
--- /dev/null
+++ b/internal/entry/keeper/submit.go
@@ -0,0 +1,236 @@
+package keeper
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/node/pauser"
+	"lentilrock.example/internal/work/describer"
+	"lentilrock.example/internal/work/journaler"
+)
+
+const (
+	// submitBatch bounds the submissions of one append.
+	submitBatch = 32
+	// submitTimeout bounds an append before it is repeated.
+	submitTimeout = 900 * time.Millisecond
+	// refusedPause separates appends that the store refuses.
+	refusedPause = 60 * time.Millisecond
+	// refusedFor is how long refused submissions are tried again.
+	refusedFor = 600 * time.Millisecond
+	// viewAge is how old the view of the log may be to deny a job.
+	viewAge = readWait + 200*time.Millisecond
+	// viewPoll is how often a denied job is looked for while the view is old.
+	viewPoll = 25 * time.Millisecond
+)
+
+// submission is a record that a caller waits for.
+type submission struct {
+	ctx    context.Context
+	record journaler.Record
+	reply  chan error
+}
+
+// State is what callers hear of a job.
+type State uint8
+
+// States of a job.
+const (
+	Queued State = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// Submit keeps a job; it is accepted once that returns nil. Errors wrap ErrRefused, after
+// which the job never runs, ErrNotKnown or ErrNotReady.
+func (k *Keeper) Submit(ctx context.Context, job *describer.Job) error {
+	k.mu.Lock()
+	entry, found := k.state.Jobs[job.ID]
+	isKnown := found && entry.Job != nil
+	k.mu.Unlock()
+	if isKnown {
+		return nil
+	}
+	job.Received = k.now()
+	record, err := journaler.NewJob(job)
+	if err != nil {
+		return errors.Errorf("submit job %s: %w", job.ID, err)
+	}
+	return k.keep(ctx, record)
+}
+
+// Cancel ends a job for good. Errors wrap ErrNoJob or those of Submit.
+func (k *Keeper) Cancel(ctx context.Context, id describer.JobID) error {
+	entry, err := k.find(ctx, id)
+	if err != nil {
+		return err
+	}
+	if entry.Cancelled || entry.Progress.Outcome != journaler.OutcomeNone {
+		return nil
+	}
+	record, err := journaler.NewCancel(id, journaler.Cancel{At: k.now()})
+	if err != nil {
+		return errors.Errorf("cancel job %s: %w", id, err)
+	}
+	return k.keep(ctx, record)
+}
+
+// Status returns a job's state. Errors wrap ErrNoJob or ErrNotKnown.
+func (k *Keeper) Status(ctx context.Context, id describer.JobID) (State, error) {
+	entry, err := k.find(ctx, id)
+	switch {
+	case err != nil:
+		return 0, err
+	case entry.Progress.Outcome == journaler.OutcomeCompleted:
+		return Completed, nil
+	case entry.Progress.Outcome == journaler.OutcomeFailed:
+		return Failed, nil
+	case entry.Cancelled:
+		return Cancelled, nil
+	case entry.Progress.Begun:
+		return Running, nil
+	}
+	return Queued, nil
+}
+
+// find returns a copy of a job's entry. A job is denied only by a view of the log that is
+// fresh.
+func (k *Keeper) find(ctx context.Context, id describer.JobID) (journaler.Entry, error) {
+	asked := k.now()
+	for {
+		k.mu.Lock()
+		entry, found := k.state.Jobs[id]
+		isFresh := k.now().Sub(k.freshAt) < viewAge
+		isNewer := k.freshAt.After(asked)
+		var copied journaler.Entry
+		if found {
+			copied = *entry
+		}
+		k.mu.Unlock()
+		switch {
+		case found && copied.Job != nil:
+			return copied, nil
+		case isFresh || isNewer:
+			return copied, ErrNoJob
+		}
+		select {
+		case <-ctx.Done():
+			return copied, errors.Errorf("find job %s: %w", id, ErrNotKnown)
+		case <-k.options.Clock.After(viewPoll):
+		}
+	}
+}
+
+// Pending counts the accepted jobs of a queue of which nothing has begun.
+func (k *Keeper) Pending(queue string) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	count := 0
+	for _, e := range k.state.Jobs {
+		if e.Job != nil && e.Job.Queue.Name == queue && !e.Cancelled && !e.Progress.Begun && e.Progress.Outcome == journaler.OutcomeNone {
+			count++
+		}
+	}
+	return count
+}
+
+// Route returns the queue of a call: that of its host with the longest prefix of its path,
+// and the rest of the path.
+func (k *Keeper) Route(host, path string) (describer.Queue, string, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.knowsCell() {
+		return describer.Queue{}, "", ErrNotReady
+	}
+	var best describer.Queue
+	for _, q := range k.config.Queues {
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && len(q.Prefix) > len(best.Prefix) {
+			best = q
+		}
+	}
+	if best.Prefix == "" {
+		return best, "", ErrNoJob
+	}
+	return best, path[len(best.Prefix):], nil
+}
+
+// keep appends a record and waits until it is kept.
+func (k *Keeper) keep(ctx context.Context, record journaler.Record) error {
+	s := &submission{ctx: ctx, record: record, reply: make(chan error, 1)}
+	if !k.submissions.Offer(s) {
+		return errors.Errorf("too many submissions wait: %w", ErrRefused)
+	}
+	select {
+	case err := <-s.reply:
+		return err
+	case <-ctx.Done():
+		return errors.Errorf("wait for the store: %w", ErrNotKnown)
+	}
+}
+
+// submitLoop appends submissions, those that wait together in one call.
+func (k *Keeper) submitLoop(ctx context.Context) {
+	for {
+		first, ok := k.submissions.Take(ctx)
+		if !ok {
+			return
+		}
+		batch := []*submission{first}
+		for len(batch) < submitBatch {
+			next, found := k.submissions.Poll()
+			if !found {
+				break
+			}
+			batch = append(batch, next)
+		}
+		err := k.appendBatch(ctx, batch)
+		for _, s := range batch {
+			s.reply <- err
+		}
+	}
+}
+
+// appendBatch appends the records of a batch. An append without an answer is repeated
+// while a caller waits: each record is idempotent.
+func (k *Keeper) appendBatch(ctx context.Context, batch []*submission) error {
+	records := make([]journaler.Record, 0, len(batch))
+	for _, s := range batch {
+		records = append(records, s.record)
+	}
+	began, isOpen := k.now(), false
+	for {
+		appending, cancel := context.WithTimeout(ctx, submitTimeout)
+		offset, err := k.options.Store.Append(appending, storer.Append{Records: records})
+		cancel()
+		switch {
+		case err == nil:
+			k.applyOwn(records, offset)
+			return nil
+		case errors.Is(err, storer.ErrRefused) && !isOpen && k.now().Sub(began) > refusedFor:
+			k.options.Logger.Warn("submit: The store refused.", zap.Int("records", len(records)), zap.String("error", err.Error()))
+			return errors.Errorf("append %d records: %w", len(records), ErrRefused)
+		case !errors.Is(err, storer.ErrRefused):
+			isOpen = true
+		}
+		if ctx.Err() != nil || !someoneWaits(batch) {
+			return errors.Errorf("append %d records: %w", len(records), ErrNotKnown)
+		}
+		pauser.Pause(ctx, k.options.Clock, refusedPause)
+	}
+}
+
+func someoneWaits(batch []*submission) bool {
+	for _, s := range batch {
+		if s.ctx.Err() == nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/work/journaler/journaler.go
@@ -0,0 +1,291 @@
+// Package journaler defines the records that a cell keeps in the platform's store and
+// folds them into the state that they amount to.
+//
+// Each record has a key, and the newest record of a key replaces the former ones, so the
+// store itself holds a snapshot. The fold keeps the offset of each part and ignores a
+// record below it, so pages of newest records and a later stretch of the log may overlap.
+//
+// # Usage
+//
+//	state := journaler.New()
+//	state.Apply(journaler.Record{Key: key, Value: value}, offset)
+//	entry := state.Jobs["5c0e7a21d94b36f8"]
+package journaler
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"lentilrock.example/internal/work/describer"
+)
+
+// Keys and prefixes of keys of the records.
+const (
+	beatKey        = "b"
+	claimKey       = "c"
+	hostPrefix     = "h/"
+	jobPrefix      = "j/"
+	progressPrefix = "p/"
+	cancelPrefix   = "x/"
+)
+
+// Record is an entry of the log. A record without a value removes its key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Claim says which host orders at the workers. Its epoch is the fencing token.
+type Claim struct {
+	Epoch       int64  `cbor:"1,keyasint"`
+	Host        string `cbor:"2,keyasint"`
+	Incarnation string `cbor:"3,keyasint"`
+	// Released reports that the holder left and any host may claim.
+	Released bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Beat shows that the holder lives.
+type Beat struct {
+	Epoch int64 `cbor:"1,keyasint"`
+}
+
+// Cancel says that a job is not wanted any more.
+type Cancel struct {
+	At time.Time `cbor:"1,keyasint"`
+}
+
+// Host is an entry host's address for its peers.
+type Host struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	Address     string `cbor:"3,keyasint"`
+	DataCentre  string `cbor:"4,keyasint"`
+}
+
+// Outcome is how a job ended.
+type Outcome uint8
+
+// Outcomes of a job. The zero value is a job that has not ended.
+const (
+	OutcomeNone Outcome = iota
+	OutcomeCompleted
+	OutcomeFailed
+)
+
+// StepProgress is what lasts of a step of an occurrence.
+type StepProgress struct {
+	Occurrence int `cbor:"1,keyasint,omitempty"`
+	Step       int `cbor:"2,keyasint,omitempty"`
+	// Done lists the tasks that are done as pairs of first and last index.
+	Done []int `cbor:"3,keyasint,omitempty"`
+	// Failed has the runs that failed, by index.
+	Failed map[int][]int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Progress is what the holder keeps of a job.
+type Progress struct {
+	Epoch   int64          `cbor:"1,keyasint"`
+	Begun   bool           `cbor:"2,keyasint,omitempty"`
+	Outcome Outcome        `cbor:"3,keyasint,omitempty"`
+	Steps   []StepProgress `cbor:"4,keyasint,omitempty"`
+	Reason  string         `cbor:"5,keyasint,omitempty"`
+}
+
+// JobKey returns the key of a job's submission.
+func JobKey(id describer.JobID) string { return jobPrefix + string(id) }
+
+// Encode returns the bytes of a record's value.
+func Encode(value any) ([]byte, error) {
+	data, err := cbor.Marshal(value)
+	return data, errors.Wrap(err, "encode record")
+}
+
+func record(key string, value any) (Record, error) {
+	data, err := Encode(value)
+	if err != nil {
+		return Record{}, errors.Errorf("record %s: %w", key, err)
+	}
+	return Record{Key: key, Value: data}, nil
+}
+
+// NewBeat returns the record of a beat.
+func NewBeat(b Beat) (Record, error) { return record(beatKey, b) }
+
+// NewClaim returns the record of a claim.
+func NewClaim(c Claim) (Record, error) { return record(claimKey, c) }
+
+// NewCancel returns the record of a cancellation.
+func NewCancel(id describer.JobID, c Cancel) (Record, error) {
+	return record(cancelPrefix+string(id), c)
+}
+
+// NewHost returns the record of an entry host.
+func NewHost(h Host) (Record, error) { return record(hostPrefix+h.Name, h) }
+
+// NewJob returns the record of a submission.
+func NewJob(j *describer.Job) (Record, error) { return record(JobKey(j.ID), j) }
+
+// NewProgress returns the record of a job's progress.
+func NewProgress(id describer.JobID, p Progress) (Record, error) {
+	return record(progressPrefix+string(id), p)
+}
+
+// Forget returns the records that remove all that is kept of a job.
+func Forget(id describer.JobID) []Record {
+	return []Record{{Key: JobKey(id)}, {Key: cancelPrefix + string(id)}, {Key: progressPrefix + string(id)}}
+}
+
+// Entry is what the log says of a job.
+type Entry struct {
+	ID describer.JobID
+	// Job is nil where only a cancel or progress was read so far.
+	Job       *describer.Job
+	Cancelled bool
+	// CancelledAt is the offset of the cancellation.
+	CancelledAt int64
+	Progress    Progress
+	// JobOffset is where the submission stands.
+	JobOffset      int64
+	progressOffset int64
+}
+
+// State is the fold of the log.
+type State struct {
+	Claim Claim
+	// ClaimOffset is where the claim stands; -1 where there is none.
+	ClaimOffset int64
+	// HolderOffset is the newest record that the present holder wrote.
+	HolderOffset int64
+	Jobs         map[describer.JobID]*Entry
+	Hosts        map[string]Host
+	hostOffsets  map[string]int64
+}
+
+// New returns the state before any record.
+func New() *State {
+	return &State{
+		ClaimOffset: -1, HolderOffset: -1,
+		Jobs: make(map[describer.JobID]*Entry), Hosts: make(map[string]Host), hostOffsets: make(map[string]int64),
+	}
+}
+
+// Apply folds a record into the state and returns the entry of the job that it changed, if
+// any. An error means that the record can't be read; the state is unchanged.
+func (s *State) Apply(r Record, offset int64) (*Entry, error) {
+	switch {
+	case r.Key == beatKey:
+		return nil, s.applyBeat(r, offset)
+	case r.Key == claimKey:
+		return nil, s.applyClaim(r, offset)
+	case strings.HasPrefix(r.Key, hostPrefix):
+		return nil, s.applyHost(r, offset)
+	case strings.HasPrefix(r.Key, jobPrefix):
+		return s.applyJob(describer.JobID(r.Key[len(jobPrefix):]), r, offset)
+	case strings.HasPrefix(r.Key, progressPrefix):
+		return s.applyProgress(describer.JobID(r.Key[len(progressPrefix):]), r, offset)
+	case strings.HasPrefix(r.Key, cancelPrefix):
+		return s.applyCancel(describer.JobID(r.Key[len(cancelPrefix):]), r, offset)
+	}
+	return nil, errors.Errorf("record %q is of no known kind", r.Key)
+}
+
+func (s *State) applyBeat(r Record, offset int64) error {
+	var beat Beat
+	if err := cbor.Unmarshal(r.Value, &beat); err != nil {
+		return errors.Errorf("read beat: %w", err)
+	}
+	s.heard(beat.Epoch, offset)
+	return nil
+}
+
+func (s *State) heard(epoch, offset int64) {
+	if epoch == s.Claim.Epoch {
+		s.HolderOffset = max(s.HolderOffset, offset)
+	}
+}
+
+func (s *State) applyClaim(r Record, offset int64) error {
+	var claim Claim
+	if err := cbor.Unmarshal(r.Value, &claim); err != nil {
+		return errors.Errorf("read claim: %w", err)
+	}
+	if offset <= s.ClaimOffset {
+		return nil
+	}
+	s.Claim, s.ClaimOffset = claim, offset
+	s.HolderOffset = max(s.HolderOffset, offset)
+	return nil
+}
+
+func (s *State) applyHost(r Record, offset int64) error {
+	name := r.Key[len(hostPrefix):]
+	if offset < s.hostOffsets[name] {
+		return nil
+	}
+	s.hostOffsets[name] = offset
+	if len(r.Value) == 0 {
+		delete(s.Hosts, name)
+		return nil
+	}
+	var host Host
+	if err := cbor.Unmarshal(r.Value, &host); err != nil {
+		return errors.Errorf("read host %s: %w", name, err)
+	}
+	s.Hosts[name] = host
+	return nil
+}
+
+func (s *State) entry(id describer.JobID) *Entry {
+	e, found := s.Jobs[id]
+	if !found {
+		e = &Entry{ID: id, JobOffset: -1, progressOffset: -1}
+		s.Jobs[id] = e
+	}
+	return e
+}
+
+// applyJob keeps the first submission of an id; a repeated one changes nothing.
+func (s *State) applyJob(id describer.JobID, r Record, offset int64) (*Entry, error) {
+	if len(r.Value) == 0 {
+		delete(s.Jobs, id)
+		return nil, nil
+	}
+	if e, found := s.Jobs[id]; found && e.Job != nil {
+		return e, nil
+	}
+	var job describer.Job
+	if err := cbor.Unmarshal(r.Value, &job); err != nil {
+		return nil, errors.Errorf("read job %s: %w", id, err)
+	}
+	e := s.entry(id)
+	e.Job, e.JobOffset = &job, offset
+	return e, nil
+}
+
+func (s *State) applyProgress(id describer.JobID, r Record, offset int64) (*Entry, error) {
+	if len(r.Value) == 0 {
+		return nil, nil
+	}
+	var progress Progress
+	if err := cbor.Unmarshal(r.Value, &progress); err != nil {
+		return nil, errors.Errorf("read progress of %s: %w", id, err)
+	}
+	s.heard(progress.Epoch, offset)
+	e := s.entry(id)
+	if offset > e.progressOffset {
+		e.Progress, e.progressOffset = progress, offset
+	}
+	return e, nil
+}
+
+func (s *State) applyCancel(id describer.JobID, r Record, offset int64) (*Entry, error) {
+	if len(r.Value) == 0 {
+		return nil, nil
+	}
+	e := s.entry(id)
+	e.Cancelled, e.CancelledAt = true, offset
+	return e, nil
+}
