Split the new core into packages; keep a release from hiding a later claim

Cause: a leaving holder appended its release unfenced, so it could land behind the next claim and hide it: the fold then knew an older, released claim, each new claim had an epoch that the store had seen, and nobody could hold the cell. Ruled out: two holders (tokens differ).

Change: the release is fenced like the holder's other appends, the fold ignores claims that are not later, and a host never tries an epoch twice.

--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -8,9 +8,10 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/node/pauser"
-	"lentilrock.example/internal/work/journaler"
 )
 
 const (
@@ -32,7 +33,7 @@
 	// rankSpread separates hosts of one data centre.
 	rankSpread = 60 * time.Millisecond
 	// maxReadAge is how old the view of the log may be for a claim.
-	maxReadAge = readWait + 300*time.Millisecond
+	maxReadAge = follower.ReadWait + 300*time.Millisecond
 )
 
 // elect claims the cell when it has no holder.
@@ -56,16 +57,17 @@
 		return 0, ""
 	}
 	claim := k.state.Claim
+	epoch := max(claim.Epoch, k.triedEpoch) + 1
 	quiet := now.Sub(later(k.beatAt, k.failedAt))
 	switch {
 	case claim.Epoch == 0 && quiet > k.rankDelay():
-		return 1, "there is no holder yet"
+		return epoch, "there is no holder yet"
 	case claim.Host == k.options.Name && claim.Incarnation != k.options.Incarnation:
-		return claim.Epoch + 1, "the holder was a former life of this host"
+		return epoch, "the holder was a former life of this host"
 	case claim.Released && quiet > k.rankDelay():
-		return claim.Epoch + 1, "the holder left"
+		return epoch, "the holder left"
 	case quiet > holderSilence+k.rankDelay():
-		return claim.Epoch + 1, "the holder is silent"
+		return epoch, "the holder is silent"
 	}
 	return 0, ""
 }
@@ -83,7 +85,8 @@
 	return b
 }
 
-// claim appends a claim. Whether it won is read from the log.
+// claim appends a claim. Whether it won is read from the log. An epoch is tried once: the
+// store takes only the first append of an epoch's claim.
 func (k *Keeper) claim(ctx context.Context, epoch int64, reason string) {
 	record, err := journaler.NewClaim(journaler.Claim{Epoch: epoch, Host: k.options.Name, Incarnation: k.options.Incarnation})
 	if err != nil {
@@ -92,6 +95,9 @@
 	}
 	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	k.mu.Lock()
+	k.triedEpoch = epoch
+	k.mu.Unlock()
 	_, err = k.options.Store.Append(claiming, storer.Append{Records: []journaler.Record{record}, Epoch: epoch})
 	outcome := "appended"
 	if err != nil {
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -1,155 +1,33 @@
 package keeper
 
 import (
-	"cmp"
-	"context"
-	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/storer"
-	"lentilrock.example/internal/node/pauser"
-	"lentilrock.example/internal/work/describer"
-	"lentilrock.example/internal/work/journaler"
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
 )
 
 const (
-	// readWait is how long the store may hold a read back for a record.
-	readWait = time.Second
-	// readSlack is how much longer an answer may take before the connection counts as dead.
-	readSlack = 1500 * time.Millisecond
 	// readPause separates the reads of a host that holds no claim.
 	readPause = 80 * time.Millisecond
-	// failurePause separates reads that fail.
-	failurePause = 150 * time.Millisecond
 	// relistEvery is how often the host list is read as a whole.
 	relistEvery = 3 * time.Second
-	// missingFor is how long a worker that left the list is remembered: longer than any lease.
-	missingFor = 10 * time.Second
 )
 
-// follower reads a topic: first the newest record of each key, then all that come.
-type follower struct {
-	keeper *Keeper
-	topic  storer.Topic
-	// reset takes in the newest records; it may be called again after records were lost.
-	reset func(entries []storer.Entry)
-	// apply takes in records in their order; it is also called without any.
-	apply  func(entries []storer.Entry)
-	failed func()
-	pause  func() time.Duration
-	// relist is how often all is read again; 0 means never.
-	relist time.Duration
-}
-
-func (k *Keeper) followers() []*follower {
-	steady := func() time.Duration { return readPause }
-	return []*follower{
-		{keeper: k, topic: storer.Cell, reset: k.applyCell, apply: k.applyCell, failed: k.cellFailed, pause: k.cellPause},
-		{keeper: k, topic: storer.Operators, reset: k.applyOperators, apply: k.applyOperators, pause: steady},
-		{keeper: k, topic: storer.Workers, reset: k.resetWorkers, apply: k.applyWorkers, pause: k.workersPause, relist: relistEvery},
-	}
-}
-
-func (f *follower) run(ctx context.Context) {
-	log := f.keeper.options.Logger.With(zap.Stringer("topic", f.topic))
-	isDown := false
-	for ctx.Err() == nil {
-		err := f.follow(ctx, func() {
-			if isDown {
-				isDown = false
-				log.Info("store: The topic is read again.")
-			}
-		})
-		if ctx.Err() != nil {
-			return
-		}
-		if !isDown && err != nil {
-			isDown = true
-			log.Warn("store: The topic can't be read.", zap.String("error", err.Error()))
-		}
-		pauser.Pause(ctx, f.keeper.options.Clock, failurePause)
-	}
-}
-
-// follow reads all newest records, then follows until the records are gone or it is time to
-// read all again. Reads that fail are repeated from where they were.
-func (f *follower) follow(ctx context.Context, succeeded func()) error {
-	from, err := f.readNewest(ctx)
-	if err != nil {
-		f.fail()
-		return errors.Errorf("read newest: %w", err)
-	}
-	succeeded()
-	began := f.keeper.now()
-	failures := 0
-	for ctx.Err() == nil {
-		if f.relist > 0 && f.keeper.now().Sub(began) > f.relist {
-			return nil
-		}
-		entries, err := f.read(ctx, from)
-		switch {
-		case errors.Is(err, storer.ErrForgotten):
-			return nil
-		case err != nil:
-			f.fail()
-			failures++
-			if failures == 1 {
-				f.keeper.options.Logger.Warn("store: A read failed.", zap.Stringer("topic", f.topic), zap.String("error", err.Error()))
-			}
-			pauser.Pause(ctx, f.keeper.options.Clock, failurePause)
-			continue
-		}
-		failures = 0
-		if len(entries) > 0 {
-			from = entries[len(entries)-1].Offset + 1
-		}
-		f.apply(entries)
-		if wait := f.pause(); wait > 0 {
-			pauser.Pause(ctx, f.keeper.options.Clock, wait)
-		}
+func (k *Keeper) followers() []*follower.Follower {
+	followers := []*follower.Follower{
+		{Topic: storer.Cell, Reset: k.applyCell, Apply: k.applyCell, Failed: k.cellFailed, Pause: k.cellPause},
+		{Topic: storer.Operators, Reset: k.applyOperators, Apply: k.applyOperators, Pause: func() time.Duration { return readPause }},
+		{Topic: storer.Workers, Reset: k.resetWorkers, Apply: k.applyWorkers, Pause: k.workersPause, Relist: relistEvery},
 	}
-	return ctx.Err()
-}
-
-func (f *follower) fail() {
-	if f.failed != nil {
-		f.failed()
-	}
-}
-
-func (f *follower) read(ctx context.Context, from int64) ([]storer.Entry, error) {
-	reading, cancel := context.WithTimeout(ctx, readWait+readSlack)
-	defer cancel()
-	return f.keeper.options.Store.Read(reading, f.topic, from, readWait)
-}
-
-// readNewest takes in the newest record of each key and returns where to go on: the end at
-// the time of the first page, since pages are no snapshot.
-func (f *follower) readNewest(ctx context.Context) (int64, error) {
-	var entries []storer.Entry
-	after, from := "", int64(-1)
-	for {
-		reading, cancel := context.WithTimeout(ctx, readWait+readSlack)
-		page, err := f.keeper.options.Store.Newest(reading, f.topic, after)
-		cancel()
-		if err != nil {
-			return 0, err
-		}
-		if from < 0 {
-			from = page.End
-		}
-		entries = append(entries, page.Entries...)
-		if page.After == "" {
-			break
-		}
-		after = page.After
+	for _, f := range followers {
+		f.Store, f.Clock, f.Logger = k.options.Store, k.options.Clock, k.options.Logger
 	}
-	slices.SortFunc(entries, func(a, b storer.Entry) int { return cmp.Compare(a.Offset, b.Offset) })
-	f.reset(entries)
-	return from, nil
+	return followers
 }
 
 // cellPause keeps the holder's reads prompt.
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -8,10 +8,10 @@
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/dispatcher"
+	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/node/pauser"
-	"lentilrock.example/internal/work/dispatcher"
-	"lentilrock.example/internal/work/journaler"
-	"lentilrock.example/internal/work/orderer"
 )
 
 const (
@@ -275,7 +275,8 @@
 	return 0, false
 }
 
-// release gives the claim back, so that another host takes over at once.
+// release gives the claim back, so that another host takes over at once. It is fenced as
+// the holder's other appends are, so it never hides a later claim.
 func (h *holder) release(ctx context.Context) {
 	k := h.keeper
 	k.mu.Lock()
@@ -295,7 +296,8 @@
 		k.options.Logger.Error("claim: A release can't be encoded.", zap.String("error", err.Error()))
 		return
 	}
-	if _, err := k.options.Store.Append(ctx, storer.Append{Records: []journaler.Record{record}}); err != nil {
-		k.options.Logger.Warn("claim: Was not released.", zap.String("error", err.Error()))
+	call := storer.Append{Records: []journaler.Record{record}, Epoch: h.epoch, Sequence: h.sequence + 1}
+	if _, err := k.options.Store.Append(ctx, call); err != nil {
+		k.options.Logger.Warn("claim: Was not released.", zap.Int64("epoch", h.epoch), zap.String("error", err.Error()))
 	}
 }
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -23,13 +23,14 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
-	"lentilrock.example/internal/container/buffer"
+	"lentilrock.example/internal/entry/asker"
 	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/entry/submitter"
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/dispatcher"
+	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/peer/messenger"
-	"lentilrock.example/internal/work/describer"
-	"lentilrock.example/internal/work/dispatcher"
-	"lentilrock.example/internal/work/journaler"
-	"lentilrock.example/internal/work/orderer"
 )
 
 // Errors of the calls of callers.
@@ -38,10 +39,6 @@
 	ErrNotReady = errors.New("the host does not know its cell yet")
 	// ErrNoJob means that there is no such job.
 	ErrNoJob = errors.New("there is no such job")
-	// ErrNotKnown means that the outcome is open.
-	ErrNotKnown = errors.New("the outcome is not known yet")
-	// ErrRefused means that nothing was done.
-	ErrRefused = errors.New("the store takes nothing now")
 )
 
 // Decoder reads the entries that others write into the store.
@@ -59,11 +56,6 @@
 	Stop(ctx context.Context, stop orderer.Stop) orderer.Verdict
 }
 
-// Advisor says which workers may run a step.
-type Advisor interface {
-	Advise(ctx context.Context, question orderer.Advise) (orderer.Advice, error)
-}
-
 // Options are what a keeper is made from.
 type Options struct {
 	Name        string
@@ -73,25 +65,18 @@
 	Store       storer.Store
 	Decoder     Decoder
 	Workers     Workers
-	Advisor     Advisor
+	Advisor     asker.Advisor
 	Messenger   *messenger.Messenger
 	Clock       clockwork.Clock
 	Logger      *zap.Logger
 	Dispatch    dispatcher.Options
 }
 
-const (
-	// submissionRing bounds the submissions that wait for the store.
-	submissionRing = 1024
-	// submitters append side by side, so that one slow answer does not hold up the others.
-	submitters = 4
-)
-
 // Keeper is an entry host.
 type Keeper struct {
-	options     Options
-	submissions *buffer.Ring[*submission]
-	lanes       *lanes
+	options   Options
+	submitter *submitter.Submitter
+	asker     *asker.Asker
 
 	mu     sync.Mutex
 	state  *journaler.State
@@ -101,12 +86,14 @@
 	// freshAt is when the last read of the cell's log that succeeded was answered.
 	freshAt time.Time
 	// beatAt is when the holder was last heard, failedAt when a read last failed.
-	beatAt     time.Time
-	failedAt   time.Time
-	heardTo    int64
-	listedAt   time.Time
-	holder     *holder
-	lastEpoch  int64
+	beatAt    time.Time
+	failedAt  time.Time
+	heardTo   int64
+	listedAt  time.Time
+	holder    *holder
+	lastEpoch int64
+	// triedEpoch is the highest that this host tried to claim.
+	triedEpoch int64
 	leaving    bool
 	storeDelay time.Duration
 }
@@ -119,25 +106,23 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
-	k := &Keeper{
-		options: options, submissions: buffer.New[*submission](submissionRing),
-		state: journaler.New(), listed: make(map[string]describer.Worker), heardTo: -1,
-	}
-	k.lanes = newLanes(k)
-	if options.Messenger != nil {
-		messenger.Handle(options.Messenger, adviseKind, k.adviseForPeer)
-	}
+	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), heardTo: -1}
+	k.submitter = submitter.New(submitter.Options{
+		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
+	})
+	k.asker = asker.New(asker.Options{
+		Self: options.Name, DataCentre: options.DataCentre, Advisor: options.Advisor,
+		Messenger: options.Messenger, Hosts: k.hosts, Clock: options.Clock,
+	})
 	return k
 }
 
 // Run follows the store and takes part in the cell until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	var duties sync.WaitGroup
-	for range submitters {
-		duties.Go(func() { k.submitLoop(ctx) })
-	}
+	duties.Go(func() { k.submitter.Run(ctx) })
 	for _, f := range k.followers() {
-		duties.Go(func() { f.run(ctx) })
+		duties.Go(func() { f.Run(ctx) })
 	}
 	duties.Go(func() { k.announce(ctx) })
 	duties.Go(func() { k.elect(ctx) })
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -6,36 +6,20 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"go.uber.org/zap"
 
+	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/storer"
-	"lentilrock.example/internal/node/pauser"
-	"lentilrock.example/internal/work/describer"
-	"lentilrock.example/internal/work/journaler"
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
 )
 
 const (
-	// submitBatch bounds the submissions of one append.
-	submitBatch = 32
-	// submitTimeout bounds an append before it is repeated.
-	submitTimeout = 900 * time.Millisecond
-	// refusedPause separates appends that the store refuses.
-	refusedPause = 60 * time.Millisecond
-	// refusedFor is how long refused submissions are tried again.
-	refusedFor = 600 * time.Millisecond
 	// viewAge is how old the view of the log may be to deny a job.
-	viewAge = readWait + 200*time.Millisecond
+	viewAge = follower.ReadWait + 200*time.Millisecond
 	// viewPoll is how often a denied job is looked for while the view is old.
 	viewPoll = 25 * time.Millisecond
 )
 
-// submission is a record that a caller waits for.
-type submission struct {
-	ctx    context.Context
-	record journaler.Record
-	reply  chan error
-}
-
 // State is what callers hear of a job.
 type State uint8
 
@@ -48,8 +32,8 @@
 	Cancelled
 )
 
-// Submit keeps a job; it is accepted once that returns nil. Errors wrap ErrRefused, after
-// which the job never runs, ErrNotKnown or ErrNotReady.
+// Submit keeps a job; it is accepted once that returns nil. Errors wrap storer.ErrRefused, after
+// which the job never runs, storer.ErrNotKnown or ErrNotReady.
 func (k *Keeper) Submit(ctx context.Context, job *describer.Job) error {
 	k.mu.Lock()
 	entry, found := k.state.Jobs[job.ID]
@@ -63,7 +47,7 @@
 	if err != nil {
 		return errors.Errorf("submit job %s: %w", job.ID, err)
 	}
-	return k.keep(ctx, record)
+	return k.submitter.Keep(ctx, record)
 }
 
 // Cancel ends a job for good. Errors wrap ErrNoJob or those of Submit.
@@ -79,10 +63,10 @@
 	if err != nil {
 		return errors.Errorf("cancel job %s: %w", id, err)
 	}
-	return k.keep(ctx, record)
+	return k.submitter.Keep(ctx, record)
 }
 
-// Status returns a job's state. Errors wrap ErrNoJob or ErrNotKnown.
+// Status returns a job's state. Errors wrap ErrNoJob or storer.ErrNotKnown.
 func (k *Keeper) Status(ctx context.Context, id describer.JobID) (State, error) {
 	entry, err := k.find(ctx, id)
 	switch {
@@ -122,7 +106,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return copied, errors.Errorf("find job %s: %w", id, ErrNotKnown)
+			return copied, errors.Errorf("find job %s: %w", id, storer.ErrNotKnown)
 		case <-k.options.Clock.After(viewPoll):
 		}
 	}
@@ -160,77 +144,3 @@
 	}
 	return best, path[len(best.Prefix):], nil
 }
-
-// keep appends a record and waits until it is kept.
-func (k *Keeper) keep(ctx context.Context, record journaler.Record) error {
-	s := &submission{ctx: ctx, record: record, reply: make(chan error, 1)}
-	if !k.submissions.Offer(s) {
-		return errors.Errorf("too many submissions wait: %w", ErrRefused)
-	}
-	select {
-	case err := <-s.reply:
-		return err
-	case <-ctx.Done():
-		return errors.Errorf("wait for the store: %w", ErrNotKnown)
-	}
-}
-
-// submitLoop appends submissions, those that wait together in one call.
-func (k *Keeper) submitLoop(ctx context.Context) {
-	for {
-		first, ok := k.submissions.Take(ctx)
-		if !ok {
-			return
-		}
-		batch := []*submission{first}
-		for len(batch) < submitBatch {
-			next, found := k.submissions.Poll()
-			if !found {
-				break
-			}
-			batch = append(batch, next)
-		}
-		err := k.appendBatch(ctx, batch)
-		for _, s := range batch {
-			s.reply <- err
-		}
-	}
-}
-
-// appendBatch appends the records of a batch. An append without an answer is repeated
-// while a caller waits: each record is idempotent.
-func (k *Keeper) appendBatch(ctx context.Context, batch []*submission) error {
-	records := make([]journaler.Record, 0, len(batch))
-	for _, s := range batch {
-		records = append(records, s.record)
-	}
-	began, isOpen := k.now(), false
-	for {
-		appending, cancel := context.WithTimeout(ctx, submitTimeout)
-		offset, err := k.options.Store.Append(appending, storer.Append{Records: records})
-		cancel()
-		switch {
-		case err == nil:
-			k.applyOwn(records, offset)
-			return nil
-		case errors.Is(err, storer.ErrRefused) && !isOpen && k.now().Sub(began) > refusedFor:
-			k.options.Logger.Warn("submit: The store refused.", zap.Int("records", len(records)), zap.String("error", err.Error()))
-			return errors.Errorf("append %d records: %w", len(records), ErrRefused)
-		case !errors.Is(err, storer.ErrRefused):
-			isOpen = true
-		}
-		if ctx.Err() != nil || !someoneWaits(batch) {
-			return errors.Errorf("append %d records: %w", len(records), ErrNotKnown)
-		}
-		pauser.Pause(ctx, k.options.Clock, refusedPause)
-	}
-}
-
-func someoneWaits(batch []*submission) bool {
-	for _, s := range batch {
-		if s.ctx.Err() == nil {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/entry/storer/storer.go
+++ b/internal/entry/storer/storer.go
@@ -15,7 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"lentilrock.example/internal/work/journaler"
+	"lentilrock.example/internal/fleet/journaler"
 )
 
 // Errors of a store. Any other error leaves open whether the call took effect.
--- a/internal/work/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -19,12 +19,14 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
-	"lentilrock.example/internal/work/describer"
-	"lentilrock.example/internal/work/journaler"
-	"lentilrock.example/internal/work/orderer"
+	"lentilrock.example/internal/fleet/adviser"
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/tasker"
 )
 
 // Defaults of the options.
@@ -38,16 +40,14 @@
 )
 
 const (
-	// clockDrift is how much slower a worker's clock may run, with a margin: 2% is promised.
-	clockDrift = 0.04
-	// lapseSlack covers the worker's own delay in ending what has lapsed.
-	lapseSlack = 200 * time.Millisecond
 	// renewalSlack is how long a former holder may go on renewing until a worker refuses it.
 	renewalSlack = 2 * time.Second
 	// silence is how long a worker may go without an answer before nothing is started there.
 	silence = 1500 * time.Millisecond
 	// retryPause is the pause before an order without an answer is sent again.
 	retryPause = 300 * time.Millisecond
+	// refusedPause is the pause before a task is placed again that a worker refused.
+	refusedPause = 50 * time.Millisecond
 	// runsPerEpoch separates the numbers of runs of successive holders.
 	runsPerEpoch = 256
 )
@@ -75,48 +75,39 @@
 	// claimedAt and claimOffset are those of the claim.
 	claimedAt   time.Time
 	claimOffset int64
+	// state is the fold of the log, which knows of jobs that have ended too.
+	state *journaler.State
 
-	services map[string]describer.Service
-	queues   map[string]describer.Queue
-	workers  map[string]*worker
+	queues  map[string]describer.Queue
+	workers map[string]*worker
 	// ordered are the workers by name.
 	ordered []*worker
-	jobs    map[describer.JobID]*job
+	jobs    map[describer.JobID]*tasker.Job
+	shares  adviser.Shares
 
-	dirty map[*job]bool
+	dirty map[*tasker.Job]bool
 	// batch numbers what is taken to be kept; ends are acknowledged once theirs is kept.
 	batch int64
 	// savedBatch is the newest batch that is kept.
 	savedBatch int64
 	orders     []Order
-	// goodShare is the share of workers that advice names, by queue.
-	goodShare map[string]float64
-	fenced    bool
+	isFenced   bool
 }
 
 // New returns a dispatcher that takes over the jobs of a state.
 func New(options Options, state *journaler.State, now time.Time) *Dispatcher {
-	if options.Lease == 0 {
-		options.Lease = defaultLease
-	}
-	if options.LookWait == 0 {
-		options.LookWait = defaultLookWait
-	}
-	if options.HoldMax == 0 {
-		options.HoldMax = defaultHoldMax
-	}
+	options.Lease = cmp.Or(options.Lease, defaultLease)
+	options.LookWait = cmp.Or(options.LookWait, defaultLookWait)
+	options.HoldMax = cmp.Or(options.HoldMax, defaultHoldMax)
 	options.Lease = min(options.Lease, options.HoldMax)
-	if options.RemoteFactor < 1 {
-		options.RemoteFactor = 1
-	}
+	options.RemoteFactor = max(options.RemoteFactor, 1)
 	if options.Report == nil {
 		options.Report = func(string, ...any) {}
 	}
 	d := &Dispatcher{
-		options: options, now: now, claimedAt: now, claimOffset: state.ClaimOffset,
-		services: make(map[string]describer.Service), queues: make(map[string]describer.Queue),
-		workers: make(map[string]*worker), jobs: make(map[describer.JobID]*job),
-		dirty: make(map[*job]bool), batch: 1, goodShare: make(map[string]float64),
+		options: options, now: now, claimedAt: now, claimOffset: state.ClaimOffset, state: state,
+		queues: make(map[string]describer.Queue), workers: make(map[string]*worker),
+		jobs: make(map[describer.JobID]*tasker.Job), dirty: make(map[*tasker.Job]bool), batch: 1,
 	}
 	ids := make([]describer.JobID, 0, len(state.Jobs))
 	for id := range state.Jobs {
@@ -130,22 +121,18 @@
 }
 
 // IsFenced reports that a worker has obeyed a later holder.
-func (d *Dispatcher) IsFenced() bool { return d.fenced }
+func (d *Dispatcher) IsFenced() bool { return d.isFenced }
 
-// SetConfig takes in a configuration. Queues that are no longer listed keep their terms for
-// the jobs that they have.
+// SetConfig takes in a configuration. Jobs of queues that are no longer listed keep their
+// terms.
 func (d *Dispatcher) SetConfig(config describer.Config) {
-	clear(d.services)
-	for _, s := range config.Services {
-		d.services[s.Name] = s
-	}
 	clear(d.queues)
 	for _, q := range config.Queues {
 		d.queues[q.Name] = q
 	}
 	for _, j := range d.jobs {
-		if q, found := d.queues[j.queue.Name]; found {
-			j.queue = q
+		if q, found := d.queues[j.Queue.Name]; found {
+			j.Queue = q
 		}
 	}
 }
@@ -158,24 +145,24 @@
 	}
 	j, found := d.jobs[entry.ID]
 	if !found {
-		if entry.Cancelled && entry.JobOffset > d.claimOffset {
+		if entry.Cancelled {
 			return
 		}
-		j = newJob(entry)
-		if q, listed := d.queues[j.queue.Name]; listed {
-			j.queue = q
+		j = tasker.NewJob(entry)
+		if q, listed := d.queues[j.Queue.Name]; listed {
+			j.Queue = q
 		}
 		d.jobs[entry.ID] = j
 	}
-	if entry.Cancelled && !j.cancelled {
-		j.cancelled = true
+	if entry.Cancelled && !j.Cancelled {
+		j.Cancelled = true
 		d.endJob(j)
 	}
 }
 
 // endJob stops what a job runs. The job is forgotten once nothing of it runs.
-func (d *Dispatcher) endJob(j *job) {
-	for r := range j.runs {
+func (d *Dispatcher) endJob(j *tasker.Job) {
+	for r := range j.Runs {
 		d.stop(r)
 	}
 }
@@ -198,38 +185,41 @@
 	return orders
 }
 
+// order adds an order to what goes out.
+func (d *Dispatcher) order(o Order) { d.orders = append(d.orders, o) }
+
+// HasProgress reports whether there is something to keep.
+func (d *Dispatcher) HasProgress() bool { return len(d.dirty) > 0 }
+
 // TakeProgress returns the records that must be kept, with the number of their batch.
 func (d *Dispatcher) TakeProgress() ([]journaler.Record, int64) {
 	batch := d.batch
 	d.batch++
-	var records []journaler.Record
-	jobs := make([]*job, 0, len(d.dirty))
+	jobs := make([]*tasker.Job, 0, len(d.dirty))
 	for j := range d.dirty {
 		jobs = append(jobs, j)
 	}
 	clear(d.dirty)
-	slices.SortFunc(jobs, func(a, b *job) int { return compareIDs(a.spec.ID, b.spec.ID) })
+	slices.SortFunc(jobs, func(a, b *tasker.Job) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
+	records := make([]journaler.Record, 0, len(jobs))
 	for _, j := range jobs {
-		record, err := journaler.NewProgress(j.spec.ID, j.progress(d.options.Epoch))
+		record, err := journaler.NewProgress(j.Spec.ID, j.Progress(d.options.Epoch))
 		if err != nil {
-			d.options.Report("A job's progress can't be encoded.", "job", j.spec.ID, "error", err.Error())
+			d.options.Report("A job's progress can't be encoded.", "job", j.Spec.ID, "error", err.Error())
 			d.dirty[j] = true
 			continue
 		}
-		j.batch = batch
+		j.Batch = batch
 		records = append(records, record)
 	}
 	return records, batch
 }
 
-// HasProgress reports whether there is something to keep.
-func (d *Dispatcher) HasProgress() bool { return len(d.dirty) > 0 }
-
 // Saved reports that the batches up to one are kept, so their ends may be forgotten.
 func (d *Dispatcher) Saved(batch int64) {
 	d.savedBatch = max(d.savedBatch, batch)
 	for _, w := range d.ordered {
-		w.saved(batch)
+		w.ends.Saved(batch)
 	}
 }
 
@@ -237,25 +227,8 @@
 // older record of a job that is read back would begin it anew.
 func (d *Dispatcher) forgetJobs() {
 	for id, j := range d.jobs {
-		if j.isOver() && len(j.runs) == 0 && !d.dirty[j] && j.batch <= d.savedBatch {
+		if j.IsOver() && len(j.Runs) == 0 && !d.dirty[j] && j.Batch <= d.savedBatch {
 			delete(d.jobs, id)
 		}
 	}
 }
-
-// order adds an order to what goes out.
-func (d *Dispatcher) order(o Order) { d.orders = append(d.orders, o) }
-
-// stop ends a run at its worker, unless that is under way.
-func (d *Dispatcher) stop(r *run) {
-	if r.stopping {
-		return
-	}
-	r.stopping = true
-	d.sendStop(r)
-}
-
-func (d *Dispatcher) sendStop(r *run) {
-	r.stopSentAt = d.now
-	d.order(orderer.Stop{Worker: r.worker.info, Task: r.ref, Run: r.number, Token: d.options.Epoch})
-}
--- a/internal/work/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -19,7 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"lentilrock.example/internal/work/describer"
+	"lentilrock.example/internal/fleet/describer"
 )
 
 // Keys and prefixes of keys of the records.
@@ -207,12 +207,14 @@
 	}
 }
 
+// applyClaim takes in a later claim, or the release of the present one.
 func (s *State) applyClaim(r Record, offset int64) error {
 	var claim Claim
 	if err := cbor.Unmarshal(r.Value, &claim); err != nil {
 		return errors.Errorf("read claim: %w", err)
 	}
-	if offset <= s.ClaimOffset {
+	isRelease := claim.Epoch == s.Claim.Epoch && claim.Incarnation == s.Claim.Incarnation && claim.Released
+	if offset <= s.ClaimOffset || claim.Epoch <= s.Claim.Epoch && !isRelease {
 		return nil
 	}
 	s.Claim, s.ClaimOffset = claim, offset
--- a/internal/work/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -12,7 +12,7 @@
 import (
 	"time"
 
-	"lentilrock.example/internal/work/describer"
+	"lentilrock.example/internal/fleet/describer"
 )
 
 // Verdict is what became of an order.
--- /dev/null
+++ b/internal/fleet/tasker/progress.go
@@ -0,0 +1,73 @@
+package tasker
+
+import (
+	"slices"
+
+	"lentilrock.example/internal/fleet/journaler"
+)
+
+// Progress returns what must be kept of a job under an epoch.
+func (j *Job) Progress(epoch int64) journaler.Progress {
+	p := journaler.Progress{Epoch: epoch, Begun: j.Begun, Outcome: j.Outcome, Reason: j.Reason}
+	if j.IsOver() {
+		return p
+	}
+	for _, s := range j.Steps {
+		if kept, isWorth := s.progress(); isWorth {
+			p.Steps = append(p.Steps, kept)
+		}
+	}
+	return p
+}
+
+func (s *Step) progress() (journaler.StepProgress, bool) {
+	p := journaler.StepProgress{Occurrence: s.Occurrence, Step: s.Index}
+	addFailures(&p, 0, s.gangFailures)
+	for i, t := range s.Tasks {
+		if t.Done {
+			p.Done = appendIndex(p.Done, i)
+			continue
+		}
+		addFailures(&p, i, t.failures)
+	}
+	return p, len(p.Done) > 0 || len(p.Failed) > 0
+}
+
+// appendIndex adds an index to pairs of first and last index.
+func appendIndex(pairs []int, index int) []int {
+	if n := len(pairs); n > 0 && pairs[n-1] == index-1 {
+		pairs[n-1] = index
+		return pairs
+	}
+	return append(pairs, index, index)
+}
+
+func addFailures(p *journaler.StepProgress, index int, failures map[int64]bool) {
+	if len(failures) == 0 {
+		return
+	}
+	if p.Failed == nil {
+		p.Failed = make(map[int][]int64)
+	}
+	for number := range failures {
+		p.Failed[index] = append(p.Failed[index], number)
+	}
+	slices.Sort(p.Failed[index])
+}
+
+// restore takes in what was kept of a step.
+func (s *Step) restore(p journaler.StepProgress) {
+	for i := 0; i+1 < len(p.Done); i += 2 {
+		for index := max(p.Done[i], 0); index <= p.Done[i+1] && index < len(s.Tasks); index++ {
+			s.Tasks[index].finish()
+		}
+	}
+	for index, runs := range p.Failed {
+		if index < 0 || index >= len(s.Tasks) {
+			continue
+		}
+		for _, number := range runs {
+			s.Tasks[index].countFailure(number)
+		}
+	}
+}
