Give the holder a partition of its own, keep a roster of workers, bound the questions

Cause: with a slow store each append takes its partition for 100 ms; callers' appends filled its queue, the holder's beats were refused and claims followed each other. After a mass death every step asked for advice at once and hosts were held for bad because callers' time was up. A worker that the host list had lost for a moment was not asked by a new holder, which ran its tasks again.

Change: jobs and claims are separate partitions; a host appends two batches at a time; claims that the store refused do not use their epoch up; questions wait in the dispatcher, by rank; the roster of workers is kept before a worker gets its first start, and a successor asks them all.

--- a/internal/entry/asker/asker.go
+++ b/internal/entry/asker/asker.go
@@ -78,12 +78,12 @@
 
 // Ask asks a question through a host that is free. Short questions go first.
 func (a *Asker) Ask(ctx context.Context, asked orderer.Advise) (orderer.Advice, error) {
-	asking, cancel := context.WithTimeout(ctx, 2*cost(asked)+answerSlack)
-	defer cancel()
-	host, err := a.acquire(asking, asked)
+	host, err := a.acquire(ctx, asked)
 	if err != nil {
 		return orderer.Advice{}, err
 	}
+	asking, cancel := context.WithTimeout(ctx, cost(asked)+answerSlack)
+	defer cancel()
 	answer, err := a.through(asking, host, asked)
 	a.release(host, err == nil)
 	if err != nil {
@@ -121,6 +121,7 @@
 	select {
 	case host := <-q.ready:
 		a.busy[host.Name] = false
+		a.assign()
 	default:
 	}
 	return journaler.Host{}, errors.Errorf("wait for a host to ask: %w", ctx.Err())
--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -24,8 +24,12 @@
 	electEvery = 50 * time.Millisecond
 	// claimTimeout bounds the append of a claim.
 	claimTimeout = time.Second
-	// claimPause separates a host's claims.
+	// claimPause separates a host's appends that the store refused.
 	claimPause = 400 * time.Millisecond
+	// triedPause is how long a host waits to read what became of a claim of its own.
+	triedPause = 1200 * time.Millisecond
+	// refusedReadPause separates reads of a new holder that fail.
+	refusedReadPause = 50 * time.Millisecond
 	// delayWeight makes hosts near the store claim first.
 	delayWeight = 4
 	// maxRankDelay bounds the handicap of hosts far from the store.
@@ -53,7 +57,10 @@
 
 // wantsClaim returns the epoch to claim and why, or no reason.
 func (k *Keeper) wantsClaim(now time.Time) (int64, string) {
-	if k.leaving || k.holder != nil || !k.knowsCell() || now.Sub(k.freshAt) > maxReadAge || k.listedAt.IsZero() {
+	if k.leaving || k.holder != nil || !k.knowsCell() || now.Sub(k.claimsAt) > maxReadAge || k.listedAt.IsZero() {
+		return 0, ""
+	}
+	if now.Sub(k.triedAt) < triedPause {
 		return 0, ""
 	}
 	claim := k.state.Claim
@@ -95,31 +102,62 @@
 	}
 	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	k.mu.Lock()
-	k.triedEpoch = epoch
-	k.mu.Unlock()
-	_, err = k.options.Store.Append(claiming, storer.Append{Records: []journaler.Record{record}, Epoch: epoch})
+	_, err = k.options.Store.Append(claiming, storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: epoch})
 	outcome := "appended"
 	if err != nil {
 		outcome = err.Error()
 	}
+	if !errors.Is(err, storer.ErrRefused) {
+		k.mu.Lock()
+		k.triedEpoch, k.triedAt = epoch, k.now()
+		k.mu.Unlock()
+	}
 	k.options.Logger.Info("claim: Claimed.", zap.Int64("epoch", epoch), zap.String("reason", reason), zap.String("outcome", outcome))
 }
 
 // followClaim takes the cell up or gives it up as the log says.
-func (k *Keeper) followClaim(now time.Time) {
+func (k *Keeper) followClaim() {
 	claim := k.state.Claim
 	isMine := claim.Host == k.options.Name && claim.Incarnation == k.options.Incarnation && !claim.Released
 	switch {
 	case isMine && claim.Epoch > k.lastEpoch && !k.leaving:
 		k.lastEpoch = claim.Epoch
 		k.resign("A later claim of this host is in force.")
-		k.hold(now, claim)
+		go k.takeUp(claim)
 	case !isMine && k.holder != nil && claim.Epoch >= k.holder.epoch:
 		k.resign("Another host has the claim.")
 	}
 }
 
+// takeUp reads the jobs up to the claim, then holds the cell.
+func (k *Keeper) takeUp(claim journaler.Claim) {
+	for {
+		k.mu.Lock()
+		from, isMine := k.nextJob, k.state.Claim.Epoch == claim.Epoch && !k.leaving
+		k.mu.Unlock()
+		if !isMine {
+			return
+		}
+		reading, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		entries, err := k.options.Store.Read(reading, storer.Jobs, from, 0)
+		cancel()
+		switch {
+		case err != nil:
+			k.options.Logger.Warn("claim: The jobs can't be read.", zap.Int64("epoch", claim.Epoch), zap.String("error", err.Error()))
+			k.options.Clock.Sleep(refusedReadPause)
+		case len(entries) > 0:
+			k.applyJobs(entries)
+		default:
+			k.mu.Lock()
+			if k.state.Claim.Epoch == claim.Epoch && !k.leaving {
+				k.hold(k.now(), claim)
+			}
+			k.mu.Unlock()
+			return
+		}
+	}
+}
+
 // announce tells the peers where this host is.
 func (k *Keeper) announce(ctx context.Context) {
 	record, err := journaler.NewHost(journaler.Host{
@@ -133,7 +171,7 @@
 	for ctx.Err() == nil {
 		began := k.now()
 		appending, cancel := context.WithTimeout(ctx, claimTimeout)
-		_, err := k.options.Store.Append(appending, storer.Append{Records: []journaler.Record{record}})
+		_, err := k.options.Store.Append(appending, storer.Append{Topic: storer.Jobs, Records: []journaler.Record{record}})
 		cancel()
 		if err == nil {
 			k.mu.Lock()
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -12,17 +12,28 @@
 )
 
 const (
-	// readPause separates the reads of a host that holds no claim.
-	readPause = 80 * time.Millisecond
+	// jobsPause separates the reads of the jobs by hosts that only answer for them.
+	jobsPause = 400 * time.Millisecond
+	// claimsPause bounds how late a host knows that a job has ended.
+	claimsPause = 100 * time.Millisecond
+	// holderClaimsPause is that of the holder, which wrote the records itself.
+	holderClaimsPause = 250 * time.Millisecond
+	// operatorsPause gathers configurations that come in quick succession.
+	operatorsPause = 100 * time.Millisecond
+	// holderListPause bounds how late the holder hears of a worker's change.
+	holderListPause = 300 * time.Millisecond
+	// listPause is that of the other hosts, which need the list only after a claim.
+	listPause = time.Second
 	// relistEvery is how often the host list is read as a whole.
 	relistEvery = 3 * time.Second
 )
 
 func (k *Keeper) followers() []*follower.Follower {
 	followers := []*follower.Follower{
-		{Topic: storer.Cell, Reset: k.applyCell, Apply: k.applyCell, Failed: k.cellFailed, Pause: k.cellPause},
-		{Topic: storer.Operators, Reset: k.applyOperators, Apply: k.applyOperators, Pause: func() time.Duration { return readPause }},
-		{Topic: storer.Workers, Reset: k.resetWorkers, Apply: k.applyWorkers, Pause: k.workersPause, Relist: relistEvery},
+		{Topic: storer.Jobs, Reset: k.applyJobs, Apply: k.applyJobs, Pause: k.pause(0, jobsPause)},
+		{Topic: storer.Claims, Reset: k.applyClaims, Apply: k.applyClaims, Failed: k.claimsFailed, Pause: k.pause(holderClaimsPause, claimsPause)},
+		{Topic: storer.Operators, Reset: k.applyOperators, Apply: k.applyOperators, Pause: k.pause(operatorsPause, operatorsPause)},
+		{Topic: storer.Workers, Reset: k.resetWorkers, Apply: k.applyWorkers, Pause: k.pause(holderListPause, listPause), Relist: relistEvery},
 	}
 	for _, f := range followers {
 		f.Store, f.Clock, f.Logger = k.options.Store, k.options.Clock, k.options.Logger
@@ -30,51 +41,48 @@
 	return followers
 }
 
-// cellPause keeps the holder's reads prompt.
-func (k *Keeper) cellPause() time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.holder != nil {
-		return 0
+// pause returns how long to wait between reads, for the holder and for the other hosts.
+func (k *Keeper) pause(holds, other time.Duration) func() time.Duration {
+	return func() time.Duration {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.holder != nil {
+			return holds
+		}
+		return other
 	}
-	return readPause
 }
 
-func (k *Keeper) workersPause() time.Duration {
+func (k *Keeper) claimsFailed() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.holder != nil {
-		return holderListPause
-	}
-	return listPause
+	k.failedAt = k.now()
 }
 
-const (
-	// holderListPause bounds how late the holder hears of a worker's change.
-	holderListPause = 300 * time.Millisecond
-	// listPause is that of the other hosts, which only remember the list.
-	listPause = time.Second
-)
-
-func (k *Keeper) cellFailed() {
+// applyJobs folds what callers handed in and hands changed jobs to the dispatcher.
+func (k *Keeper) applyJobs(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.failedAt = k.now()
+	k.jobsAt = k.now()
+	for _, e := range entries {
+		k.applyRecord(k.jobsAt, e)
+		k.nextJob = max(k.nextJob, e.Offset+1)
+	}
 }
 
-// applyCell folds records of the cell's log and hands changed jobs to the dispatcher.
-func (k *Keeper) applyCell(entries []storer.Entry) {
+// applyClaims folds what the holders wrote.
+func (k *Keeper) applyClaims(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
 	for _, e := range entries {
 		k.applyRecord(now, e)
 	}
-	if k.state.HolderOffset > k.heardTo || k.freshAt.IsZero() {
+	if k.state.HolderOffset > k.heardTo || k.claimsAt.IsZero() {
 		k.heardTo, k.beatAt = k.state.HolderOffset, now
 	}
-	k.freshAt = now
-	k.followClaim(now)
+	k.claimsAt = now
+	k.followClaim()
 }
 
 func (k *Keeper) applyRecord(now time.Time, e storer.Entry) {
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -63,6 +63,7 @@
 		lookers: make(map[string]bool), saved: make(chan struct{}),
 	}
 	h.dispatcher.SetConfig(k.config)
+	h.dispatcher.SetAskers(len(k.state.Hosts))
 	h.dispatcher.SetWorkers(now, k.workerList())
 	k.holder = h
 	k.options.Logger.Info("claim: This host holds the cell.", zap.Int64("epoch", claim.Epoch),
@@ -121,6 +122,7 @@
 		var hasProgress, isFenced bool
 		var started []string
 		h.with(func(now time.Time, d *dispatcher.Dispatcher) {
+			d.SetAskers(len(h.keeper.state.Hosts))
 			d.Tick(now)
 			orders = d.TakeOrders()
 			hasProgress, isFenced = d.HasProgress(), d.IsFenced()
@@ -254,7 +256,7 @@
 // is over. An append without an answer is repeated as it was, and takes effect once.
 func (h *holder) append(ctx context.Context, records []journaler.Record) (int64, bool) {
 	h.sequence++
-	call := storer.Append{Records: records, Epoch: h.epoch, Sequence: h.sequence}
+	call := storer.Append{Topic: storer.Claims, Records: records, Epoch: h.epoch, Sequence: h.sequence}
 	for ctx.Err() == nil {
 		appending, cancel := context.WithTimeout(ctx, saveTimeout)
 		offset, err := h.keeper.options.Store.Append(appending, call)
@@ -296,7 +298,7 @@
 		k.options.Logger.Error("claim: A release can't be encoded.", zap.String("error", err.Error()))
 		return
 	}
-	call := storer.Append{Records: []journaler.Record{record}, Epoch: h.epoch, Sequence: h.sequence + 1}
+	call := storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: h.epoch, Sequence: h.sequence + 1}
 	if _, err := k.options.Store.Append(ctx, call); err != nil {
 		k.options.Logger.Warn("claim: Was not released.", zap.Int64("epoch", h.epoch), zap.String("error", err.Error()))
 	}
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -83,9 +83,12 @@
 	config describer.Config
 	// listed are the workers of the host list; missing those that left it lately.
 	listed map[string]describer.Worker
-	// freshAt is when the last read of the cell's log that succeeded was answered.
-	freshAt time.Time
-	// beatAt is when the holder was last heard, failedAt when a read last failed.
+	// jobsAt and claimsAt are when the topics were last read.
+	jobsAt   time.Time
+	claimsAt time.Time
+	// nextJob is the first record of the jobs that was not read.
+	nextJob int64
+	// beatAt is when the holder was last heard, failedAt when a read of it last failed.
 	beatAt    time.Time
 	failedAt  time.Time
 	heardTo   int64
@@ -94,6 +97,7 @@
 	lastEpoch int64
 	// triedEpoch is the highest that this host tried to claim.
 	triedEpoch int64
+	triedAt    time.Time
 	leaving    bool
 	storeDelay time.Duration
 }
@@ -140,7 +144,9 @@
 }
 
 // knowsCell reports whether the configuration and the log were read once.
-func (k *Keeper) knowsCell() bool { return k.config.Version > 0 && !k.freshAt.IsZero() }
+func (k *Keeper) knowsCell() bool {
+	return k.config.Version > 0 && !k.jobsAt.IsZero() && !k.claimsAt.IsZero()
+}
 
 // Config returns the newest configuration; its version is 0 before the first.
 func (k *Keeper) Config() describer.Config {
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -15,7 +15,7 @@
 
 const (
 	// viewAge is how old the view of the log may be to deny a job.
-	viewAge = follower.ReadWait + 200*time.Millisecond
+	viewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
 	// viewPoll is how often a denied job is looked for while the view is old.
 	viewPoll = 25 * time.Millisecond
 )
@@ -91,8 +91,8 @@
 	for {
 		k.mu.Lock()
 		entry, found := k.state.Jobs[id]
-		isFresh := k.now().Sub(k.freshAt) < viewAge
-		isNewer := k.freshAt.After(asked)
+		isFresh := k.now().Sub(k.jobsAt) < viewAge
+		isNewer := k.jobsAt.After(asked)
 		var copied journaler.Entry
 		if found {
 			copied = *entry
--- a/internal/entry/storer/storer.go
+++ b/internal/entry/storer/storer.go
@@ -35,21 +35,24 @@
 
 // Topics.
 const (
-	// Cell is the log of the cell's own records.
-	Cell Topic = iota
+	// Jobs has what callers handed in and cancelled, and the entry hosts.
+	Jobs Topic = iota
+	// Claims has what the holders of the claim wrote.
+	Claims
 	// Operators has what operators set.
 	Operators
 	// Workers has what workers say of themselves.
 	Workers
 )
 
-var topicNames = [...]string{"cell", "operators", "workers"}
+var topicNames = [...]string{"jobs", "claims", "operators", "workers"}
 
 // String returns the topic's name in logs.
 func (t Topic) String() string { return topicNames[t] }
 
-// Append is a call that adds records to the cell's log, all or none.
+// Append is a call that adds records to one of the cell's topics, all or none.
 type Append struct {
+	Topic   Topic
 	Records []journaler.Record
 	// Epoch and Sequence fence off the appends of former writers; an Epoch of 0 does not.
 	Epoch    int64
--- a/internal/entry/submitter/submitter.go
+++ b/internal/entry/submitter/submitter.go
@@ -26,14 +26,15 @@
 const (
 	// ringSize bounds the submissions that wait for the store.
 	ringSize = 1024
-	// writers append side by side, so that one slow answer does not hold up the others.
-	writers = 4
+	// writers append side by side, so that a lost answer does not hold up the others. More
+	// would fill the store's queue when it is slow; few gather larger batches instead.
+	writers = 2
 	// batchSize bounds the submissions of one append.
-	batchSize = 32
+	batchSize = 64
 	// appendTimeout bounds an append before it is repeated.
-	appendTimeout = 900 * time.Millisecond
+	appendTimeout = 800 * time.Millisecond
 	// refusedPause separates appends that the store refuses.
-	refusedPause = 60 * time.Millisecond
+	refusedPause = 120 * time.Millisecond
 	// refusedFor is how long refused submissions are tried again.
 	refusedFor = 600 * time.Millisecond
 )
@@ -121,7 +122,7 @@
 	began, isOpen := s.options.Clock.Now(), false
 	for {
 		appending, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := s.options.Store.Append(appending, storer.Append{Records: records})
+		offset, err := s.options.Store.Append(appending, storer.Append{Topic: storer.Jobs, Records: records})
 		cancel()
 		switch {
 		case err == nil:
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -48,6 +48,10 @@
 	retryPause = 300 * time.Millisecond
 	// refusedPause is the pause before a task is placed again that a worker refused.
 	refusedPause = 50 * time.Millisecond
+	// unknownGrace is how long a run of a job that is not known is left alone.
+	unknownGrace = 2 * time.Second
+	// defaultQuestions bounds the questions for advice while the hosts are not counted.
+	defaultQuestions = 2
 	// runsPerEpoch separates the numbers of runs of successive holders.
 	runsPerEpoch = 256
 )
@@ -70,11 +74,9 @@
 
 // Dispatcher decides for a cell under one claim.
 type Dispatcher struct {
-	options Options
-	now     time.Time
-	// claimedAt and claimOffset are those of the claim.
-	claimedAt   time.Time
-	claimOffset int64
+	options   Options
+	now       time.Time
+	claimedAt time.Time
 	// state is the fold of the log, which knows of jobs that have ended too.
 	state *journaler.State
 
@@ -92,6 +94,11 @@
 	savedBatch int64
 	orders     []Order
 	isFenced   bool
+	// isRosterOld reports that the roster must be written again.
+	isRosterOld bool
+	// questions counts those for advice that are under way, maxQuestions bounds them.
+	questions    int
+	maxQuestions int
 }
 
 // New returns a dispatcher that takes over the jobs of a state.
@@ -105,7 +112,7 @@
 		options.Report = func(string, ...any) {}
 	}
 	d := &Dispatcher{
-		options: options, now: now, claimedAt: now, claimOffset: state.ClaimOffset, state: state,
+		options: options, now: now, claimedAt: now, state: state, maxQuestions: defaultQuestions,
 		queues: make(map[string]describer.Queue), workers: make(map[string]*worker),
 		jobs: make(map[describer.JobID]*tasker.Job), dirty: make(map[*tasker.Job]bool), batch: 1,
 	}
@@ -117,6 +124,10 @@
 	for _, id := range ids {
 		d.JobChanged(now, state.Jobs[id])
 	}
+	for _, member := range state.Roster.Members {
+		w := d.addWorker(describer.Worker{ID: member.ID, Address: member.Address})
+		w.isEnrolled = true
+	}
 	return d
 }
 
@@ -152,6 +163,8 @@
 		if q, listed := d.queues[j.Queue.Name]; listed {
 			j.Queue = q
 		}
+		// A former holder that does not know of the claim yet could have started it too.
+		j.MayRunElsewhere = now.Sub(d.claimedAt) < renewalSlack
 		d.jobs[entry.ID] = j
 	}
 	if entry.Cancelled && !j.Cancelled {
@@ -189,7 +202,7 @@
 func (d *Dispatcher) order(o Order) { d.orders = append(d.orders, o) }
 
 // HasProgress reports whether there is something to keep.
-func (d *Dispatcher) HasProgress() bool { return len(d.dirty) > 0 }
+func (d *Dispatcher) HasProgress() bool { return len(d.dirty) > 0 || d.isRosterOld }
 
 // TakeProgress returns the records that must be kept, with the number of their batch.
 func (d *Dispatcher) TakeProgress() ([]journaler.Record, int64) {
@@ -212,6 +225,9 @@
 		j.Batch = batch
 		records = append(records, record)
 	}
+	if d.isRosterOld {
+		records = append(records, d.roster(batch)...)
+	}
 	return records, batch
 }
 
@@ -220,7 +236,28 @@
 	d.savedBatch = max(d.savedBatch, batch)
 	for _, w := range d.ordered {
 		w.ends.Saved(batch)
+		w.isEnrolled = w.isEnrolled || w.rosterBatch > 0 && w.rosterBatch <= d.savedBatch
+	}
+}
+
+// roster returns the record of the workers at which runs may be.
+func (d *Dispatcher) roster(batch int64) []journaler.Record {
+	roster := journaler.Roster{Epoch: d.options.Epoch}
+	for _, w := range d.ordered {
+		roster.Members = append(roster.Members, journaler.Member{ID: w.info.ID, Address: w.info.Address})
+	}
+	record, err := journaler.NewRoster(roster)
+	if err != nil {
+		d.options.Report("The roster can't be encoded.", "error", err.Error())
+		return nil
+	}
+	d.isRosterOld = false
+	for _, w := range d.ordered {
+		if w.rosterBatch == 0 {
+			w.rosterBatch = batch
+		}
 	}
+	return []journaler.Record{record}
 }
 
 // forgetJobs drops the jobs of which nothing runs and whose end is kept. Before that, an
--- a/internal/fleet/dispatcher/place.go
+++ b/internal/fleet/dispatcher/place.go
@@ -16,6 +16,12 @@
 	failedBeforePenalty = 50.0
 	// mixPenalty keeps tasks that serve apart from those that fill.
 	mixPenalty = 20.0
+	// quickDecision is below what the advice of batch queues takes.
+	quickDecision = 100 * time.Millisecond
+	// queuedQuestions may wait for a host, so that none is idle between two.
+	queuedQuestions = 2
+	// keptForQuick is the part of the hosts that slow questions leave free: one in three.
+	keptForQuick = 3
 	// remoteWeight makes a worker near the data win over a fuller one.
 	remoteWeight = 5.0
 )
@@ -37,7 +43,7 @@
 func (d *Dispatcher) place() {
 	isBlocked := d.mayRunElsewhere()
 	for _, s := range d.waiting() {
-		if isBlocked && s.Job.Offset < d.claimOffset {
+		if isBlocked && s.Job.MayRunElsewhere {
 			continue
 		}
 		if s.Spec.Gang {
@@ -211,7 +217,7 @@
 
 // askAdvice asks about the likeliest workers for a step that has tasks left without a place.
 func (d *Dispatcher) askAdvice(s *tasker.Step) {
-	if !s.Job.Queue.NeedsAdvice() || !s.Advice.MayAsk(d.now) {
+	if !s.Job.Queue.NeedsAdvice() || !s.Advice.MayAsk(d.now) || !d.mayAsk(s.Job.Queue.Advice) {
 		return
 	}
 	var candidates []adviser.Candidate
@@ -229,12 +235,25 @@
 	want := d.shares.Want(s.Job.Queue.Name, s.WaitingTasks(d.now))
 	asked := s.Advice.Choose(candidates, want)
 	s.Advice.Asked(d.now)
+	d.questions++
 	d.order(orderer.Advise{Step: s.Ref(), Workers: asked, Terms: s.Job.Queue.Advice})
 }
 
+// SetAskers says how many hosts can ask for advice side by side.
+func (d *Dispatcher) SetAskers(count int) { d.maxQuestions = max(count, 1) }
+
+// mayAsk reports whether a host is free to ask. Slow questions leave hosts for quick ones.
+func (d *Dispatcher) mayAsk(terms describer.AdviceTerms) bool {
+	if terms.Decide < quickDecision {
+		return d.questions < d.maxQuestions+queuedQuestions
+	}
+	return d.questions < max(d.maxQuestions-d.maxQuestions/keptForQuick, 1)
+}
+
 // Advised takes in the answer to a question; isAnswered is false where there was none.
 func (d *Dispatcher) Advised(now time.Time, asked orderer.Advise, answer orderer.Advice, isAnswered bool) {
 	d.now = now
+	d.questions--
 	j, found := d.jobs[asked.Step.Job]
 	if !found {
 		return
--- a/internal/fleet/dispatcher/run.go
+++ b/internal/fleet/dispatcher/run.go
@@ -22,11 +22,21 @@
 	if r.Task != nil {
 		r.Task.SaveCheckpoint(running.Checkpoint)
 	}
+	if r.Task == nil && d.now.Sub(r.SentAt) < unknownGrace && !d.isKnown(running.Task.Job) {
+		d.link(r)
+		return
+	}
 	if r.Task == nil || r.Task.Run != r || r.Job.IsOver() || r.Task.Done {
 		d.stop(r)
 	}
 }
 
+// isKnown reports whether the log had a job.
+func (d *Dispatcher) isKnown(id describer.JobID) bool {
+	entry, found := d.state.Jobs[id]
+	return found && entry.Job != nil
+}
+
 // adopt takes in a run that this holder did not start. The newest run of a task stays.
 func (d *Dispatcher) adopt(w *worker, running orderer.Running) *tasker.Run {
 	r := &tasker.Run{
@@ -35,24 +45,29 @@
 	}
 	w.runs[keyOf(r)] = r
 	w.used = w.used.Plus(r.Charge)
-	j, found := d.jobs[running.Task.Job]
+	d.link(r)
+	return r
+}
+
+// link finds the job of a run that this holder did not start.
+func (d *Dispatcher) link(r *tasker.Run) {
+	j, found := d.jobs[r.Ref.Job]
 	if !found {
-		return r
+		return
 	}
 	r.Job = j
 	j.Runs[r] = true
-	t := j.Task(running.Task)
+	t := j.Task(r.Ref)
 	if t == nil {
-		return r
+		return
 	}
 	r.Task = t
-	t.LastRun = max(t.LastRun, running.Run)
+	t.LastRun = max(t.LastRun, r.Number)
 	if !j.Begun {
 		j.Begun = true
 		d.dirty[j] = true
 	}
 	d.prefer(t, r)
-	return r
 }
 
 // chargeOf returns the room that a task takes; one that is not known takes all of it.
--- a/internal/fleet/dispatcher/worker.go
+++ b/internal/fleet/dispatcher/worker.go
@@ -26,8 +26,11 @@
 	info describer.Worker
 	// isListed reports that the host list has the worker.
 	isListed bool
-	runs     map[runKey]*tasker.Run
-	used     describer.Resources
+	// isEnrolled reports that a kept roster has the worker, and rosterBatch which one was to.
+	isEnrolled  bool
+	rosterBatch int64
+	runs        map[runKey]*tasker.Run
+	used        describer.Resources
 	// isSynced reports that the worker answered under the present token.
 	isSynced bool
 	// incarnation is the life that answered last; 0 before the first answer.
@@ -48,7 +51,7 @@
 // takesWork reports whether tasks may be started on a worker. The entry and the answers
 // must be of one life, since another may have another capacity.
 func (d *Dispatcher) takesWork(w *worker) bool {
-	return w.isListed && w.isSynced && !w.isFailing && !w.info.Draining && w.lease.IsKnown() &&
+	return w.isListed && w.isEnrolled && w.isSynced && !w.isFailing && !w.info.Draining && w.lease.IsKnown() &&
 		(w.info.Incarnation == 0 || w.info.Incarnation == w.incarnation) && d.now.Sub(w.answeredAt) < silence && w.trust.TakesWork(d.now)
 }
 
@@ -71,10 +74,8 @@
 	for _, info := range listed {
 		w, found := d.workers[info.ID]
 		if !found {
-			w = &worker{runs: make(map[runKey]*tasker.Run)}
-			w.lease.LapseAt = d.claimedAt.Add(leaser.LapseOf(d.options.HoldMax) + renewalSlack)
-			d.workers[info.ID] = w
-			d.ordered = append(d.ordered, w)
+			w = d.addWorker(info)
+			d.isRosterOld = true
 		}
 		if found && info.Draining && !w.info.Draining {
 			d.options.Report("A worker drains.", "worker", info.ID, "remaining", info.Remaining, "runs", len(w.runs))
@@ -84,6 +85,15 @@
 	slices.SortFunc(d.ordered, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
 }
 
+// addWorker adds a worker at which a former holder may have runs.
+func (d *Dispatcher) addWorker(info describer.Worker) *worker {
+	w := &worker{info: info, runs: make(map[runKey]*tasker.Run)}
+	w.lease.LapseAt = d.claimedAt.Add(leaser.LapseOf(d.options.HoldMax) + renewalSlack)
+	d.workers[info.ID] = w
+	d.ordered = append(d.ordered, w)
+	return w
+}
+
 // forgetWorkers drops workers that are not listed and can run nothing.
 func (d *Dispatcher) forgetWorkers() {
 	d.ordered = slices.DeleteFunc(d.ordered, func(w *worker) bool {
@@ -92,6 +102,7 @@
 		}
 		d.options.Report("A worker is gone.", "worker", w.info.ID)
 		delete(d.workers, w.info.ID)
+		d.isRosterOld = true
 		return true
 	})
 }
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -13,6 +13,7 @@
 package journaler
 
 import (
+	"net/netip"
 	"strings"
 	"time"
 
@@ -29,6 +30,7 @@
 	hostPrefix     = "h/"
 	jobPrefix      = "j/"
 	progressPrefix = "p/"
+	rosterKey      = "w"
 	cancelPrefix   = "x/"
 )
 
@@ -52,6 +54,19 @@
 	Epoch int64 `cbor:"1,keyasint"`
 }
 
+// Member is a worker at which runs of the holder may be.
+type Member struct {
+	ID      string         `cbor:"1,keyasint"`
+	Address netip.AddrPort `cbor:"2,keyasint"`
+}
+
+// Roster lists the workers at which runs of the holder may be. The host list can lose one
+// that lives, and a successor must still ask it.
+type Roster struct {
+	Epoch   int64    `cbor:"1,keyasint"`
+	Members []Member `cbor:"2,keyasint"`
+}
+
 // Cancel says that a job is not wanted any more.
 type Cancel struct {
 	At time.Time `cbor:"1,keyasint"`
@@ -128,6 +143,9 @@
 // NewJob returns the record of a submission.
 func NewJob(j *describer.Job) (Record, error) { return record(JobKey(j.ID), j) }
 
+// NewRoster returns the record of a roster.
+func NewRoster(r Roster) (Record, error) { return record(rosterKey, r) }
+
 // NewProgress returns the record of a job's progress.
 func NewProgress(id describer.JobID, p Progress) (Record, error) {
 	return record(progressPrefix+string(id), p)
@@ -147,12 +165,13 @@
 	// CancelledAt is the offset of the cancellation.
 	CancelledAt int64
 	Progress    Progress
-	// JobOffset is where the submission stands.
+	// JobOffset is where the submission stands among the jobs.
 	JobOffset      int64
 	progressOffset int64
 }
 
-// State is the fold of the log.
+// State is the fold of the log: of the topic of jobs and that of claims, whose offsets are
+// apart.
 type State struct {
 	Claim Claim
 	// ClaimOffset is where the claim stands; -1 where there is none.
@@ -161,6 +180,8 @@
 	HolderOffset int64
 	Jobs         map[describer.JobID]*Entry
 	Hosts        map[string]Host
+	Roster       Roster
+	rosterOffset int64
 	hostOffsets  map[string]int64
 }
 
@@ -178,6 +199,8 @@
 	switch {
 	case r.Key == beatKey:
 		return nil, s.applyBeat(r, offset)
+	case r.Key == rosterKey:
+		return nil, s.applyRoster(r, offset)
 	case r.Key == claimKey:
 		return nil, s.applyClaim(r, offset)
 	case strings.HasPrefix(r.Key, hostPrefix):
@@ -222,6 +245,18 @@
 	return nil
 }
 
+func (s *State) applyRoster(r Record, offset int64) error {
+	var roster Roster
+	if err := cbor.Unmarshal(r.Value, &roster); err != nil {
+		return errors.Errorf("read roster: %w", err)
+	}
+	s.heard(roster.Epoch, offset)
+	if offset >= s.rosterOffset {
+		s.Roster, s.rosterOffset = roster, offset
+	}
+	return nil
+}
+
 func (s *State) applyHost(r Record, offset int64) error {
 	name := r.Key[len(hostPrefix):]
 	if offset < s.hostOffsets[name] {
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -37,6 +37,8 @@
 	Reason    string
 	// Objective is when the job should have ended.
 	Objective time.Time
+	// MayRunElsewhere reports that a former holder may have started tasks of the job.
+	MayRunElsewhere bool
 	// Batch is the newest one that has the job's progress.
 	Batch int64
 }
