Keep the runs at silent workers, let peers keep and answer for hosts cut off from the store

Cause: after a takeover one silent worker kept every task of a former holder from starting until its lease was over; hosts that the store did not answer let callers wait out their deadline; an order without an answer was settled only by the next long look.

Change: the holder keeps the runs at a worker that has fallen silent, so its successor suspects that worker of those alone; submissions and questions go through peers where the store can't be reached; starts count as unanswered after three round trips, and a stop is followed by a look.

--- /dev/null
+++ b/internal/entry/elector/elector.go
@@ -0,0 +1,82 @@
+// Package elector decides when a host claims the cell: when there is no holder, when the
+// holder left or ended, and when it has fallen silent in a log that could be read all the
+// while. Hosts near the store claim first.
+//
+// # Usage
+//
+//	epoch, reason := elector.Decide(view, now)
+//	if reason != "" {
+//		// append a claim of that epoch
+//	}
+package elector
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentilrock.example/internal/fleet/journaler"
+)
+
+const (
+	// holderSilence is when a holder that is not heard in the log is replaced: several beats
+	// and a slow append fit in.
+	holderSilence = 1600 * time.Millisecond
+	// delayWeight makes hosts near the store claim first.
+	delayWeight = 4
+	// maxRankDelay bounds the handicap of hosts far from the store.
+	maxRankDelay = 600 * time.Millisecond
+	// rankSpread separates hosts of one data centre.
+	rankSpread = 60 * time.Millisecond
+	// maxReadAge is how old the view of the log may be: a read that waits, and its way.
+	maxReadAge = 1300 * time.Millisecond
+	// triedPause is how long a host waits to read what became of a claim of its own.
+	triedPause = 1200 * time.Millisecond
+)
+
+// View is what a host knows when it decides.
+type View struct {
+	Self        string
+	Incarnation string
+	Claim       journaler.Claim
+	// ReadAt is when the claims were last read, FailedAt when a read of them last failed.
+	ReadAt   time.Time
+	FailedAt time.Time
+	// BeatAt is when the holder was last heard.
+	BeatAt time.Time
+	// StoreDelay is how long the store took for a call.
+	StoreDelay time.Duration
+	// TriedEpoch is the highest that this host tried to claim, at TriedAt.
+	TriedEpoch int64
+	TriedAt    time.Time
+}
+
+// Decide returns the epoch to claim and why, or no reason.
+func Decide(v View, now time.Time) (int64, string) {
+	if now.Sub(v.ReadAt) > maxReadAge || now.Sub(v.TriedAt) < triedPause {
+		return 0, ""
+	}
+	heard := v.BeatAt
+	if v.FailedAt.After(heard) {
+		heard = v.FailedAt
+	}
+	quiet := now.Sub(heard) - rankDelay(v)
+	epoch := max(v.Claim.Epoch, v.TriedEpoch) + 1
+	switch {
+	case v.Claim.Epoch == 0 && quiet > 0:
+		return epoch, "there is no holder yet"
+	case v.Claim.Host == v.Self && v.Claim.Incarnation != v.Incarnation:
+		return epoch, "the holder was a former life of this host"
+	case v.Claim.Released && quiet > 0:
+		return epoch, "the holder left"
+	case quiet > holderSilence:
+		return epoch, "the holder is silent"
+	}
+	return 0, ""
+}
+
+// rankDelay is a host's handicap.
+func rankDelay(v View) time.Duration {
+	spread := time.Duration(xxhash.Sum64String(v.Self) % uint64(rankSpread))
+	return min(delayWeight*v.StoreDelay, maxRankDelay) + spread
+}
--- /dev/null
+++ b/internal/entry/forwarder/forwarder.go
@@ -0,0 +1,159 @@
+// Package forwarder has peers do what a host that is cut off from the store can't: keep
+// records and answer for jobs.
+//
+// # Usage
+//
+//	f := forwarder.New(forwarder.Options{Self: name, Messenger: peers, Hosts: hosts, Keep: keep, Status: status})
+//	err := f.Keep(ctx, record)
+//	state, err := f.Status(ctx, id)
+package forwarder
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/peer/messenger"
+)
+
+const (
+	// keepKind and statusKind name the calls.
+	keepKind   = "keep"
+	statusKind = "status"
+	// maxPeers bounds the peers that are tried for a call.
+	maxPeers = 3
+	// callTimeout bounds a call to one peer.
+	callTimeout = 800 * time.Millisecond
+)
+
+// Outcome is what became of a record at a peer.
+type Outcome uint8
+
+// Outcomes of a record.
+const (
+	OutcomeNotKnown Outcome = iota
+	OutcomeKept
+	OutcomeRefused
+)
+
+// Answer is what a peer says of a job.
+type Answer struct {
+	State describer.JobState `cbor:"1,keyasint"`
+	// IsDenied reports that there is no such job.
+	IsDenied bool `cbor:"2,keyasint,omitempty"`
+	// IsOpen reports that the peer does not know.
+	IsOpen bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Options are what a forwarder is made from.
+type Options struct {
+	// Self is this host's name.
+	Self       string
+	DataCentre string
+	// Messenger reaches the peers; nil means that there are none.
+	Messenger *messenger.Messenger
+	Hosts     func() []journaler.Host
+	// Keep keeps a record without the help of peers.
+	Keep func(ctx context.Context, record journaler.Record) error
+	// Status answers for a job without the help of peers.
+	Status func(ctx context.Context, id describer.JobID) Answer
+}
+
+// Forwarder calls peers and serves their calls.
+type Forwarder struct {
+	options Options
+}
+
+// New returns a forwarder that serves its peers.
+func New(options Options) *Forwarder {
+	f := &Forwarder{options: options}
+	if options.Messenger != nil {
+		messenger.Handle(options.Messenger, keepKind, f.keepForPeer)
+		messenger.Handle(options.Messenger, statusKind, f.statusForPeer)
+	}
+	return f
+}
+
+// peers returns other hosts, those of this data centre first.
+func (f *Forwarder) peers() []netip.AddrPort {
+	if f.options.Messenger == nil {
+		return nil
+	}
+	var near, far []netip.AddrPort
+	for _, h := range f.options.Hosts() {
+		address, err := netip.ParseAddrPort(h.Address)
+		switch {
+		case err != nil || h.Name == f.options.Self:
+		case h.DataCentre == f.options.DataCentre:
+			near = append(near, address)
+		default:
+			far = append(far, address)
+		}
+	}
+	// One near peer leaves tries for those elsewhere, as a whole data centre can be cut off.
+	peers := near[:min(len(near), 1)]
+	return append(peers, far[:min(len(far), maxPeers-len(peers))]...)
+}
+
+// Keep has a peer keep a record. Errors wrap storer.ErrRefused, after which the record is
+// never kept, or storer.ErrNotKnown.
+func (f *Forwarder) Keep(ctx context.Context, record journaler.Record) error {
+	isOpen := false
+	for _, peer := range f.peers() {
+		if ctx.Err() != nil {
+			break
+		}
+		calling, cancel := context.WithTimeout(ctx, callTimeout)
+		outcome, err := messenger.Call[journaler.Record, Outcome](calling, f.options.Messenger, peer, keepKind, record)
+		cancel()
+		switch {
+		case err == nil && outcome == OutcomeKept:
+			return nil
+		case err == nil && outcome == OutcomeRefused, errors.Is(err, messenger.ErrUnreachable):
+		default:
+			isOpen = true
+		}
+	}
+	if isOpen {
+		return errors.Errorf("keep through peers: %w", storer.ErrNotKnown)
+	}
+	return errors.Errorf("keep through peers: %w", storer.ErrRefused)
+}
+
+// Status has peers answer for a job, until one knows.
+func (f *Forwarder) Status(ctx context.Context, id describer.JobID) Answer {
+	for _, peer := range f.peers() {
+		calling, cancel := context.WithTimeout(ctx, callTimeout)
+		answer, err := messenger.Call[describer.JobID, Answer](calling, f.options.Messenger, peer, statusKind, id)
+		cancel()
+		if err == nil && !answer.IsOpen {
+			return answer
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return Answer{IsOpen: true}
+}
+
+func (f *Forwarder) keepForPeer(ctx context.Context, _ messenger.Hello, record journaler.Record) (Outcome, error) {
+	keeping, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := f.options.Keep(keeping, record)
+	switch {
+	case err == nil:
+		return OutcomeKept, nil
+	case errors.Is(err, storer.ErrRefused):
+		return OutcomeRefused, nil
+	}
+	return OutcomeNotKnown, nil
+}
+
+func (f *Forwarder) statusForPeer(ctx context.Context, _ messenger.Hello, id describer.JobID) (Answer, error) {
+	return f.options.Status(ctx, id), nil
+}
--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"lentilrock.example/internal/entry/follower"
+	"lentilrock.example/internal/entry/elector"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/node/pauser"
@@ -17,27 +16,14 @@
 const (
 	// beatEvery is how often a holder without other records shows that it lives.
 	beatEvery = 400 * time.Millisecond
-	// holderSilence is when a holder that is not heard in the log is replaced: several beats
-	// and a slow append fit in.
-	holderSilence = 1600 * time.Millisecond
 	// electEvery is how often a host looks whether to claim.
 	electEvery = 50 * time.Millisecond
 	// claimTimeout bounds the append of a claim.
 	claimTimeout = time.Second
 	// claimPause separates a host's appends that the store refused.
 	claimPause = 400 * time.Millisecond
-	// triedPause is how long a host waits to read what became of a claim of its own.
-	triedPause = 1200 * time.Millisecond
 	// refusedReadPause separates reads of a new holder that fail.
 	refusedReadPause = 50 * time.Millisecond
-	// delayWeight makes hosts near the store claim first.
-	delayWeight = 4
-	// maxRankDelay bounds the handicap of hosts far from the store.
-	maxRankDelay = 600 * time.Millisecond
-	// rankSpread separates hosts of one data centre.
-	rankSpread = 60 * time.Millisecond
-	// maxReadAge is how old the view of the log may be for a claim.
-	maxReadAge = follower.ReadWait + 300*time.Millisecond
 )
 
 // elect claims the cell when it has no holder.
@@ -57,39 +43,14 @@
 
 // wantsClaim returns the epoch to claim and why, or no reason.
 func (k *Keeper) wantsClaim(now time.Time) (int64, string) {
-	if k.leaving || k.holder != nil || !k.knowsCell() || now.Sub(k.claimsAt) > maxReadAge || k.listedAt.IsZero() {
+	if k.leaving || k.holder != nil || !k.knowsCell() || k.listedAt.IsZero() {
 		return 0, ""
 	}
-	if now.Sub(k.triedAt) < triedPause {
-		return 0, ""
-	}
-	claim := k.state.Claim
-	epoch := max(claim.Epoch, k.triedEpoch) + 1
-	quiet := now.Sub(later(k.beatAt, k.failedAt))
-	switch {
-	case claim.Epoch == 0 && quiet > k.rankDelay():
-		return epoch, "there is no holder yet"
-	case claim.Host == k.options.Name && claim.Incarnation != k.options.Incarnation:
-		return epoch, "the holder was a former life of this host"
-	case claim.Released && quiet > k.rankDelay():
-		return epoch, "the holder left"
-	case quiet > holderSilence+k.rankDelay():
-		return epoch, "the holder is silent"
-	}
-	return 0, ""
-}
-
-// rankDelay is this host's handicap: the nearer the store, the sooner it claims.
-func (k *Keeper) rankDelay() time.Duration {
-	spread := time.Duration(xxhash.Sum64String(k.options.Name) % uint64(rankSpread))
-	return min(delayWeight*k.storeDelay, maxRankDelay) + spread
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	return elector.Decide(elector.View{
+		Self: k.options.Name, Incarnation: k.options.Incarnation, Claim: k.state.Claim,
+		ReadAt: k.claimsAt, FailedAt: k.failedAt, BeatAt: k.beatAt, StoreDelay: k.storeDelay,
+		TriedEpoch: k.triedEpoch, TriedAt: k.triedAt,
+	}, now)
 }
 
 // claim appends a claim. Whether it won is read from the log. An epoch is tried once: the
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -200,10 +200,15 @@
 	case orderer.Advise:
 		h.advise(ctx, o)
 		return
+	case orderer.Look:
+		inventory, verdict := workers.Look(ordering, o)
+		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.Looked(now, o, inventory, verdict) })
 	case orderer.Pace:
 		workers.Pace(ordering, o)
 	case orderer.Start:
-		verdict := workers.Start(ordering, o)
+		starting, cancel := context.WithTimeout(ctx, o.Timeout)
+		defer cancel()
+		verdict := workers.Start(starting, o)
 		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.StartAnswered(now, o, verdict) })
 	case orderer.Stop:
 		verdict := workers.Stop(ordering, o)
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/asker"
+	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/entry/submitter"
 	"lentilrock.example/internal/fleet/describer"
@@ -76,6 +77,7 @@
 type Keeper struct {
 	options   Options
 	submitter *submitter.Submitter
+	forwarder *forwarder.Forwarder
 	asker     *asker.Asker
 
 	mu     sync.Mutex
@@ -114,6 +116,10 @@
 	k.submitter = submitter.New(submitter.Options{
 		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
 	})
+	k.forwarder = forwarder.New(forwarder.Options{
+		Self: options.Name, DataCentre: options.DataCentre, Messenger: options.Messenger, Hosts: k.hosts,
+		Keep: k.submitter.Keep, Status: k.statusHere,
+	})
 	k.asker = asker.New(asker.Options{
 		Self: options.Name, DataCentre: options.DataCentre, Advisor: options.Advisor,
 		Messenger: options.Messenger, Hosts: k.hosts, Clock: options.Clock,
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lentilrock.example/internal/entry/follower"
+	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
@@ -16,22 +17,16 @@
 const (
 	// viewAge is how old the view of the log may be to deny a job.
 	viewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
+	// keepTimeout is when a record is handed to a peer that this host could not keep.
+	keepTimeout = 1100 * time.Millisecond
+	// silentStore is when a store that answers nothing counts as down: reads wait a second.
+	silentStore = follower.ReadWait + 900*time.Millisecond
+	// failingStore is when a store counts as down whose answers are errors.
+	failingStore = 700 * time.Millisecond
 	// viewPoll is how often a denied job is looked for while the view is old.
 	viewPoll = 25 * time.Millisecond
 )
 
-// State is what callers hear of a job.
-type State uint8
-
-// States of a job.
-const (
-	Queued State = iota
-	Running
-	Completed
-	Failed
-	Cancelled
-)
-
 // Submit keeps a job; it is accepted once that returns nil. Errors wrap storer.ErrRefused, after
 // which the job never runs, storer.ErrNotKnown or ErrNotReady.
 func (k *Keeper) Submit(ctx context.Context, job *describer.Job) error {
@@ -47,41 +42,101 @@
 	if err != nil {
 		return errors.Errorf("submit job %s: %w", job.ID, err)
 	}
-	return k.submitter.Keep(ctx, record)
+	return k.keep(ctx, record)
 }
 
 // Cancel ends a job for good. Errors wrap ErrNoJob or those of Submit.
 func (k *Keeper) Cancel(ctx context.Context, id describer.JobID) error {
-	entry, err := k.find(ctx, id)
+	state, err := k.Status(ctx, id)
 	if err != nil {
 		return err
 	}
-	if entry.Cancelled || entry.Progress.Outcome != journaler.OutcomeNone {
+	if state.IsFinal() {
 		return nil
 	}
 	record, err := journaler.NewCancel(id, journaler.Cancel{At: k.now()})
 	if err != nil {
 		return errors.Errorf("cancel job %s: %w", id, err)
 	}
-	return k.submitter.Keep(ctx, record)
+	return k.keep(ctx, record)
 }
 
 // Status returns a job's state. Errors wrap ErrNoJob or storer.ErrNotKnown.
-func (k *Keeper) Status(ctx context.Context, id describer.JobID) (State, error) {
+func (k *Keeper) Status(ctx context.Context, id describer.JobID) (describer.JobState, error) {
+	k.mu.Lock()
+	entry, found := k.state.Jobs[id]
+	isKnown := found && entry.Job != nil
+	isFresh := k.now().Sub(k.claimsAt) < viewAge
+	var state describer.JobState
+	if isKnown {
+		state = entry.JobState()
+	}
+	k.mu.Unlock()
+	if isKnown && (isFresh || state.IsFinal()) {
+		return state, nil
+	}
+	var answer forwarder.Answer
+	if isFresh {
+		answer = k.statusHere(ctx, id)
+	} else {
+		answer = k.forwarder.Status(ctx, id)
+	}
+	switch {
+	case !answer.IsOpen && !answer.IsDenied:
+		return answer.State, nil
+	case isKnown:
+		// An older state is still a true one: nothing of a job is taken back.
+		return state, nil
+	case answer.IsDenied:
+		return 0, ErrNoJob
+	}
+	return 0, errors.Errorf("status of job %s: %w", id, storer.ErrNotKnown)
+}
+
+// statusHere answers for a job from this host's view.
+func (k *Keeper) statusHere(ctx context.Context, id describer.JobID) forwarder.Answer {
 	entry, err := k.find(ctx, id)
 	switch {
+	case errors.Is(err, ErrNoJob):
+		return forwarder.Answer{IsDenied: true}
 	case err != nil:
-		return 0, err
-	case entry.Progress.Outcome == journaler.OutcomeCompleted:
-		return Completed, nil
-	case entry.Progress.Outcome == journaler.OutcomeFailed:
-		return Failed, nil
-	case entry.Cancelled:
-		return Cancelled, nil
-	case entry.Progress.Begun:
-		return Running, nil
-	}
-	return Queued, nil
+		return forwarder.Answer{IsOpen: true}
+	}
+	return forwarder.Answer{State: entry.JobState()}
+}
+
+// keep keeps a record, through a peer where the store can't be reached from here.
+func (k *Keeper) keep(ctx context.Context, record journaler.Record) error {
+	isOpen := false
+	if !k.isStoreDown() {
+		trying, cancel := context.WithTimeout(ctx, keepTimeout)
+		err := k.submitter.Keep(trying, record)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		isOpen = !errors.Is(err, storer.ErrRefused)
+	}
+	err := k.forwarder.Keep(ctx, record)
+	switch {
+	case err == nil:
+		return nil
+	case isOpen:
+		return errors.Errorf("keep record %s: %w", record.Key, storer.ErrNotKnown)
+	}
+	return err
+}
+
+// isStoreDown reports whether the store has not answered for a while.
+func (k *Keeper) isStoreDown() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	answered := k.jobsAt
+	if k.claimsAt.After(answered) {
+		answered = k.claimsAt
+	}
+	age := k.now().Sub(answered)
+	return age > silentStore || age > failingStore && k.failedAt.After(answered)
 }
 
 // find returns a copy of a job's entry. A job is denied only by a view of the log that is
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -143,6 +143,21 @@
 	return j.StartAt.Add(time.Duration(occurrence) * j.Interval)
 }
 
+// JobState is what callers hear of a job.
+type JobState uint8
+
+// States of a job.
+const (
+	JobQueued JobState = iota
+	JobRunning
+	JobCompleted
+	JobFailed
+	JobCancelled
+)
+
+// IsFinal reports whether the state stays.
+func (s JobState) IsFinal() bool { return s >= JobCompleted }
+
 // Service is a pool of workers.
 type Service struct {
 	Name           string
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -44,6 +44,14 @@
 	renewalSlack = 2 * time.Second
 	// silence is how long a worker may go without an answer before nothing is started there.
 	silence = 1500 * time.Millisecond
+	// silentAfter is when the runs at a worker that does not answer are kept.
+	silentAfter = 800 * time.Millisecond
+	// minStartTimeout is added to three round trips before a start counts as unanswered.
+	minStartTimeout = 120 * time.Millisecond
+	// maxStartTimeout bounds it.
+	maxStartTimeout = 500 * time.Millisecond
+	// roundTripWeight smooths round trips: one in eight, as TCP does.
+	roundTripWeight = 8
 	// retryPause is the pause before an order without an answer is sent again.
 	retryPause = 300 * time.Millisecond
 	// refusedPause is the pause before a task is placed again that a worker refused.
@@ -69,7 +77,7 @@
 	Report func(message string, fields ...any)
 }
 
-// Order is one of orderer.Start, orderer.Stop, orderer.Pace and orderer.Advise.
+// Order is one of the orders of package orderer.
 type Order any
 
 // Dispatcher decides for a cell under one claim.
@@ -126,7 +134,10 @@
 	}
 	for _, member := range state.Roster.Members {
 		w := d.addWorker(describer.Worker{ID: member.ID, Address: member.Address})
-		w.isEnrolled = true
+		w.isSilent, w.isEnrolled = member.IsSilent, !member.IsSilent
+	}
+	for _, id := range ids {
+		d.adoptSilent(state.Jobs[id])
 	}
 	return d
 }
@@ -216,7 +227,7 @@
 	slices.SortFunc(jobs, func(a, b *tasker.Job) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
 	records := make([]journaler.Record, 0, len(jobs))
 	for _, j := range jobs {
-		record, err := journaler.NewProgress(j.Spec.ID, j.Progress(d.options.Epoch))
+		record, err := journaler.NewProgress(j.Spec.ID, j.Progress(d.options.Epoch, d.isSilent))
 		if err != nil {
 			d.options.Report("A job's progress can't be encoded.", "job", j.Spec.ID, "error", err.Error())
 			d.dirty[j] = true
@@ -236,7 +247,9 @@
 	d.savedBatch = max(d.savedBatch, batch)
 	for _, w := range d.ordered {
 		w.ends.Saved(batch)
-		w.isEnrolled = w.isEnrolled || w.rosterBatch > 0 && w.rosterBatch <= d.savedBatch
+		if w.rosterBatch > 0 && w.rosterBatch <= d.savedBatch {
+			w.isEnrolled, w.rosterBatch = !w.isSilent, 0
+		}
 	}
 }
 
@@ -244,7 +257,7 @@
 func (d *Dispatcher) roster(batch int64) []journaler.Record {
 	roster := journaler.Roster{Epoch: d.options.Epoch}
 	for _, w := range d.ordered {
-		roster.Members = append(roster.Members, journaler.Member{ID: w.info.ID, Address: w.info.Address})
+		roster.Members = append(roster.Members, journaler.Member{ID: w.info.ID, Address: w.info.Address, IsSilent: w.isSilent})
 	}
 	record, err := journaler.NewRoster(roster)
 	if err != nil {
@@ -253,7 +266,7 @@
 	}
 	d.isRosterOld = false
 	for _, w := range d.ordered {
-		if w.rosterBatch == 0 {
+		if !w.isEnrolled && w.rosterBatch == 0 {
 			w.rosterBatch = batch
 		}
 	}
--- a/internal/fleet/dispatcher/place.go
+++ b/internal/fleet/dispatcher/place.go
@@ -212,6 +212,7 @@
 	d.order(orderer.Start{
 		Worker: w.info, Task: r.Ref, Run: number, Token: d.options.Epoch, Spec: j.Spec.Spec,
 		Deadline: w.lease.Extend(d.now, d.options.Lease), Checkpoint: t.Checkpoint(), Ticket: ticket,
+		Timeout: w.startTimeout(),
 	})
 }
 
--- a/internal/fleet/dispatcher/run.go
+++ b/internal/fleet/dispatcher/run.go
@@ -231,8 +231,10 @@
 	switch verdict {
 	case orderer.Accepted:
 		r.AnsweredAt = now
+		w.measure(now.Sub(r.SentAt))
 	case orderer.Unknown:
 		if r.AnsweredAt.IsZero() {
+			w.isDoubted = true
 			d.stop(r)
 		}
 	case orderer.Fenced:
@@ -261,7 +263,7 @@
 // StopAnswered takes in what became of a stop.
 func (d *Dispatcher) StopAnswered(now time.Time, stop orderer.Stop, verdict orderer.Verdict) {
 	d.now = now
-	_, r := d.runAt(stop.Worker.ID, stop.Task, stop.Run)
+	w, r := d.runAt(stop.Worker.ID, stop.Task, stop.Run)
 	if r == nil {
 		return
 	}
@@ -272,5 +274,22 @@
 		// The stop is sent again.
 	default:
 		r.StopAckedAt = now
+		d.lookNow(w)
 	}
 }
+
+// measure takes in the time that a start took.
+func (w *worker) measure(took time.Duration) {
+	if w.roundTrip == 0 {
+		w.roundTrip = took
+	}
+	w.roundTrip += (took - w.roundTrip) / roundTripWeight
+}
+
+// startTimeout is when a start to a worker counts as unanswered.
+func (w *worker) startTimeout() time.Duration {
+	if w.roundTrip == 0 {
+		return maxStartTimeout
+	}
+	return min(3*w.roundTrip+minStartTimeout, maxStartTimeout)
+}
--- a/internal/fleet/dispatcher/worker.go
+++ b/internal/fleet/dispatcher/worker.go
@@ -7,6 +7,7 @@
 
 	"lentilrock.example/internal/fleet/acknowledger"
 	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/leaser"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/fleet/tasker"
@@ -26,11 +27,20 @@
 	info describer.Worker
 	// isListed reports that the host list has the worker.
 	isListed bool
-	// isEnrolled reports that a kept roster has the worker, and rosterBatch which one was to.
+	// isEnrolled reports that the newest kept roster has the worker as one that answers;
+	// rosterBatch is the batch of the roster that is to say so, 0 where none is under way.
 	isEnrolled  bool
 	rosterBatch int64
-	runs        map[runKey]*tasker.Run
-	used        describer.Resources
+	// isSilent reports that the worker has not answered for a while.
+	isSilent bool
+	// isDoubted reports that a start was not answered, and nothing was heard since.
+	isDoubted bool
+	// roundTrip is the smoothed time of a start.
+	roundTrip time.Duration
+	// heardClock is the worker's clock in the newest answer that was taken in.
+	heardClock time.Duration
+	runs       map[runKey]*tasker.Run
+	used       describer.Resources
 	// isSynced reports that the worker answered under the present token.
 	isSynced bool
 	// incarnation is the life that answered last; 0 before the first answer.
@@ -45,13 +55,16 @@
 // room returns what is free on a worker.
 func (w *worker) room() describer.Resources { return w.info.Capacity.Minus(w.used) }
 
-// mayHoldOld reports whether runs of a former holder could be at the worker.
-func (w *worker) mayHoldOld(now time.Time) bool { return !w.isSynced && !w.lease.HasLapsed(now) }
+// mayHoldOld reports whether runs of a former holder could be at the worker that are not
+// known. Those at a silent worker are.
+func (w *worker) mayHoldOld(now time.Time) bool {
+	return !w.isSynced && !w.isSilent && !w.lease.HasLapsed(now)
+}
 
 // takesWork reports whether tasks may be started on a worker. The entry and the answers
 // must be of one life, since another may have another capacity.
 func (d *Dispatcher) takesWork(w *worker) bool {
-	return w.isListed && w.isEnrolled && w.isSynced && !w.isFailing && !w.info.Draining && w.lease.IsKnown() &&
+	return w.isListed && w.isEnrolled && w.isSynced && !w.isFailing && !w.isDoubted && !w.info.Draining && w.lease.IsKnown() &&
 		(w.info.Incarnation == 0 || w.info.Incarnation == w.incarnation) && d.now.Sub(w.answeredAt) < silence && w.trust.TakesWork(d.now)
 }
 
@@ -110,6 +123,7 @@
 // tickWorker settles what a silent worker can't run any more and repeats orders.
 func (d *Dispatcher) tickWorker(w *worker) {
 	isLapsed := w.lease.HasLapsed(d.now) && d.now.Sub(w.answeredAt) > silence
+	d.watchSilence(w)
 	isLeft := w.info.Draining && !w.isListed && w.isFailing
 	for _, r := range w.runs {
 		switch {
@@ -122,6 +136,45 @@
 	}
 }
 
+// watchSilence keeps the runs at a worker that does not answer, so that a later holder need
+// not suspect it of any other, and takes the worker back when it answers.
+func (d *Dispatcher) watchSilence(w *worker) {
+	isSilent := w.isSynced && w.isFailing && d.now.Sub(w.answeredAt) > silentAfter
+	if w.isSilent == isSilent || !w.isSynced {
+		return
+	}
+	w.isSilent, w.isEnrolled, w.rosterBatch = isSilent, false, 0
+	d.isRosterOld = true
+	for _, r := range w.runs {
+		if r.Job != nil {
+			d.dirty[r.Job] = true
+		}
+	}
+}
+
+func (d *Dispatcher) isSilent(id string) bool {
+	w, found := d.workers[id]
+	return found && w.isSilent
+}
+
+// adoptSilent takes in the runs that a former holder had at workers that did not answer.
+func (d *Dispatcher) adoptSilent(entry *journaler.Entry) {
+	j, found := d.jobs[entry.ID]
+	if !found {
+		return
+	}
+	for _, p := range entry.Progress.Steps {
+		for _, silent := range p.Silent {
+			w, known := d.workers[silent.Worker]
+			ref := describer.TaskRef{Job: entry.ID, Occurrence: p.Occurrence, Step: p.Step, Index: silent.Index}
+			if !known || j.Task(ref) == nil {
+				continue
+			}
+			d.adopt(w, orderer.Running{Task: ref, Run: silent.Run})
+		}
+	}
+}
+
 // NextLook returns the next look at a worker; false means that the worker is gone. A worker
 // that has not answered under the present token is promised nothing.
 func (d *Dispatcher) NextLook(now time.Time, id string) (orderer.Look, bool) {
@@ -129,12 +182,25 @@
 	if !found {
 		return orderer.Look{}, false
 	}
+	d.now = now
+	return d.look(w), true
+}
+
+func (d *Dispatcher) look(w *worker) orderer.Look {
+	now := d.now
 	look := orderer.Look{Worker: w.info, Token: d.options.Epoch, Acknowledged: w.ends.Acknowledged(), SentAt: now}
 	if w.isSynced {
 		look.Wait = d.options.LookWait
 		look.Deadline = w.lease.Extend(now, d.options.Lease)
 	}
-	return look, true
+	return look
+}
+
+// lookNow looks at a worker beside its usual looks, without a wait.
+func (d *Dispatcher) lookNow(w *worker) {
+	look := d.look(w)
+	look.Wait = 0
+	d.order(look)
 }
 
 // Looked takes in the answer to a look.
@@ -146,6 +212,10 @@
 	}
 	switch verdict {
 	case orderer.Accepted:
+		if w.incarnation == inventory.Incarnation && inventory.Clock < w.heardClock {
+			// A later answer overtook this one.
+			return
+		}
 		d.takeInventory(w, look, inventory)
 	case orderer.Fenced:
 		d.isFenced = true
@@ -164,7 +234,8 @@
 	if w.isFailing {
 		d.options.Report("A worker answers again.", "worker", w.info.ID)
 	}
-	w.isFailing, w.isSynced, w.answeredAt = false, true, d.now
+	w.isFailing, w.isSynced, w.isDoubted, w.answeredAt = false, true, false, d.now
+	w.heardClock = inventory.Clock
 	w.lease.Sample(d.now, inventory.Clock)
 	d.takeEnds(w, inventory.Ended)
 	present := make(map[runKey]bool, len(inventory.Running))
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -58,6 +58,9 @@
 type Member struct {
 	ID      string         `cbor:"1,keyasint"`
 	Address netip.AddrPort `cbor:"2,keyasint"`
+	// IsSilent reports that the worker did not answer: the progress of the jobs has all runs
+	// that it may have, and it got no other.
+	IsSilent bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Roster lists the workers at which runs of the holder may be. The host list can lose one
@@ -98,6 +101,15 @@
 	Done []int `cbor:"3,keyasint,omitempty"`
 	// Failed has the runs that failed, by index.
 	Failed map[int][]int64 `cbor:"4,keyasint,omitempty"`
+	// Silent has the runs at workers that did not answer when this was written.
+	Silent []SilentRun `cbor:"5,keyasint,omitempty"`
+}
+
+// SilentRun is a run at a worker that does not answer.
+type SilentRun struct {
+	Worker string `cbor:"1,keyasint"`
+	Index  int    `cbor:"2,keyasint"`
+	Run    int64  `cbor:"3,keyasint"`
 }
 
 // Progress is what the holder keeps of a job.
@@ -170,6 +182,21 @@
 	progressOffset int64
 }
 
+// JobState returns the job's state as callers hear it.
+func (e *Entry) JobState() describer.JobState {
+	switch {
+	case e.Progress.Outcome == OutcomeCompleted:
+		return describer.JobCompleted
+	case e.Progress.Outcome == OutcomeFailed:
+		return describer.JobFailed
+	case e.Cancelled:
+		return describer.JobCancelled
+	case e.Progress.Begun:
+		return describer.JobRunning
+	}
+	return describer.JobQueued
+}
+
 // State is the fold of the log: of the topic of jobs and that of claims, whose offsets are
 // apart.
 type State struct {
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -61,6 +61,8 @@
 	Deadline   time.Duration
 	Checkpoint string
 	Ticket     string
+	// Timeout is when the start counts as unanswered.
+	Timeout time.Duration
 }
 
 // Stop orders a worker to end a run, and to refuse it if it comes later.
--- a/internal/fleet/tasker/progress.go
+++ b/internal/fleet/tasker/progress.go
@@ -6,21 +6,22 @@
 	"lentilrock.example/internal/fleet/journaler"
 )
 
-// Progress returns what must be kept of a job under an epoch.
-func (j *Job) Progress(epoch int64) journaler.Progress {
+// Progress returns what must be kept of a job under an epoch, with its runs at the workers
+// that do not answer.
+func (j *Job) Progress(epoch int64, isSilent func(worker string) bool) journaler.Progress {
 	p := journaler.Progress{Epoch: epoch, Begun: j.Begun, Outcome: j.Outcome, Reason: j.Reason}
 	if j.IsOver() {
 		return p
 	}
 	for _, s := range j.Steps {
-		if kept, isWorth := s.progress(); isWorth {
+		if kept, isWorth := s.progress(isSilent); isWorth {
 			p.Steps = append(p.Steps, kept)
 		}
 	}
 	return p
 }
 
-func (s *Step) progress() (journaler.StepProgress, bool) {
+func (s *Step) progress(isSilent func(worker string) bool) (journaler.StepProgress, bool) {
 	p := journaler.StepProgress{Occurrence: s.Occurrence, Step: s.Index}
 	addFailures(&p, 0, s.gangFailures)
 	for i, t := range s.Tasks {
@@ -29,8 +30,11 @@
 			continue
 		}
 		addFailures(&p, i, t.failures)
+		if t.Run != nil && isSilent(t.Run.Worker) {
+			p.Silent = append(p.Silent, journaler.SilentRun{Worker: t.Run.Worker, Index: i, Run: t.Run.Number})
+		}
 	}
-	return p, len(p.Done) > 0 || len(p.Failed) > 0
+	return p, len(p.Done) > 0 || len(p.Failed) > 0 || len(p.Silent) > 0
 }
 
 // appendIndex adds an index to pairs of first and last index.
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -9,7 +9,7 @@
 //			...
 //		}
 //	}
-//	record, err := journaler.NewProgress(job.Spec.ID, job.Progress(epoch))
+//	record, err := journaler.NewProgress(job.Spec.ID, job.Progress(epoch, isSilent))
 package tasker
 
 import (
