--- a/internal/fleet/adviser/adviser.go
+++ b/internal/fleet/adviser/adviser.go
@@ -85,6 +85,9 @@
 	return known && !good
 }
 
+// IsGood reports whether a worker is known to be allowed.
+func (b *Book) IsGood(worker string) bool { return b.isGood[worker] }
+
 // Choose returns the workers to ask about: the good ones first, then by their score.
 func (b *Book) Choose(candidates []Candidate, want int) []string {
 	slices.SortStableFunc(candidates, func(x, y Candidate) int {
--- a/internal/fleet/dispatcher/place.go
+++ b/internal/fleet/dispatcher/place.go
@@ -91,6 +91,9 @@
 		}
 		w, ticket := d.best(t, plan{})
 		if w == nil {
+			if s.Spec.LongRunning {
+				d.reserve(t)
+			}
 			d.askAdvice(s)
 			return
 		}
@@ -145,7 +148,7 @@
 
 // allows reports whether a worker can take a task of a step, and with which ticket.
 func (d *Dispatcher) allows(s *tasker.Step, w *worker, p plan) (string, bool) {
-	if !d.takesWork(w) || !d.suits(s, w) || !s.Spec.Charge().Fits(w.room().Minus(p.room[w])) {
+	if !d.takesWork(w) || !d.suits(s, w) || !s.Spec.Charge().Fits(w.roomFor(s, d.now).Minus(p.room[w])) {
 		return "", false
 	}
 	if s.Spec.MaxPerWorker > 0 && s.RunsAt(w.info.ID)+p.count[w] >= s.Spec.MaxPerWorker {
@@ -198,6 +201,10 @@
 // start orders a worker to run a task.
 func (d *Dispatcher) start(t *tasker.Task, w *worker, ticket string, number int64) {
 	j := t.Step.Job
+	t.FreeSince = time.Time{}
+	if w.reserved.step == t.Step {
+		w.reserved = reservation{}
+	}
 	r := &tasker.Run{
 		Task: t, Ref: t.Ref(), Job: j, Number: number, Worker: w.info.ID, Charge: t.Step.Spec.Charge(), SentAt: d.now,
 	}
@@ -223,7 +230,7 @@
 	}
 	var candidates []adviser.Candidate
 	for _, w := range d.ordered {
-		if s.Advice.IsBad(w.info.ID) || !d.takesWork(w) || !d.suits(s, w) || !s.Spec.Charge().Fits(w.room()) {
+		if s.Advice.IsBad(w.info.ID) || !d.takesWork(w) || !d.suits(s, w) || !d.isWorthAsking(s, w) {
 			continue
 		}
 		if _, isValid := s.Advice.Ticket(w.info.ID, w.incarnation, d.now); !isValid {
@@ -240,6 +247,15 @@
 	d.order(orderer.Advise{Step: s.Ref(), Workers: asked, Terms: s.Job.Queue.Advice})
 }
 
+// isWorthAsking reports whether a task of a step could start on a worker soon. Lasting tasks
+// may have room made for them, so it counts which workers are allowed at all.
+func (d *Dispatcher) isWorthAsking(s *tasker.Step, w *worker) bool {
+	if s.Spec.LongRunning && !s.Advice.IsGood(w.info.ID) {
+		return s.Spec.Charge().Fits(w.info.Capacity)
+	}
+	return s.Spec.Charge().Fits(w.roomFor(s, d.now))
+}
+
 // SetAskers says how many hosts can ask for advice side by side.
 func (d *Dispatcher) SetAskers(count int) { d.maxQuestions = max(count, 1) }
 
--- a/internal/fleet/dispatcher/worker.go
+++ b/internal/fleet/dispatcher/worker.go
@@ -41,6 +41,7 @@
 	heardClock time.Duration
 	runs       map[runKey]*tasker.Run
 	used       describer.Resources
+	reserved   reservation
 	// isSynced reports that the worker answered under the present token.
 	isSynced bool
 	// incarnation is the life that answered last; 0 before the first answer.
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -72,7 +72,9 @@
 	// FailedAt are the workers where the task failed.
 	FailedAt map[string]bool
 	// NotBefore is when the task may be started again.
-	NotBefore  time.Time
+	NotBefore time.Time
+	// FreeSince is when a task without a run was first found to have no place.
+	FreeSince  time.Time
 	failures   map[int64]bool
 	checkpoint string
 }
