--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// beatEvery is how often a holder without other records shows that it lives.
-	beatEvery = 400 * time.Millisecond
 	// electEvery is how often a host looks whether to claim.
 	electEvery = 50 * time.Millisecond
 	// claimTimeout bounds the append of a claim.
@@ -85,7 +83,7 @@
 		k.lastEpoch = claim.Epoch
 		k.resign("A later claim of this host is in force.")
 		go k.takeUp(claim)
-	case !isMine && k.holder != nil && claim.Epoch >= k.holder.epoch:
+	case !isMine && k.holder != nil && claim.Epoch >= k.holder.Epoch():
 		k.resign("Another host has the claim.")
 	}
 }
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -91,9 +91,12 @@
 		k.options.Logger.Warn("log: A record was ignored.", zap.String("key", e.Key), zap.Int64("offset", e.Offset), zap.String("error", err.Error()))
 		return
 	}
+	if k.holder != nil {
+		k.dispatcher.SetAskers(len(k.state.Hosts))
+	}
 	if k.holder != nil && changed != nil {
-		k.holder.dispatcher.JobChanged(now, changed)
-		k.holder.kick()
+		k.dispatcher.JobChanged(now, changed)
+		k.holder.Kick()
 	}
 }
 
@@ -112,8 +115,8 @@
 		k.config = config
 		k.options.Logger.Info("config: In force.", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)))
 		if k.holder != nil {
-			k.holder.dispatcher.SetConfig(config)
-			k.holder.kick()
+			k.dispatcher.SetConfig(config)
+			k.holder.Kick()
 		}
 	}
 }
@@ -143,8 +146,8 @@
 	}
 	k.listedAt = k.now()
 	if k.holder != nil {
-		k.holder.dispatcher.SetWorkers(k.now(), k.workerList())
-		k.holder.kick()
+		k.dispatcher.SetWorkers(k.now(), k.workerList())
+		k.holder.Kick()
 	}
 }
 
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -25,12 +25,12 @@
 
 	"lentilrock.example/internal/entry/asker"
 	"lentilrock.example/internal/entry/forwarder"
+	"lentilrock.example/internal/entry/holder"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/entry/submitter"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
-	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/peer/messenger"
 )
 
@@ -49,14 +49,6 @@
 	Worker(id string, value []byte) (describer.Worker, error)
 }
 
-// Workers carries orders to workers.
-type Workers interface {
-	Look(ctx context.Context, look orderer.Look) (orderer.Inventory, orderer.Verdict)
-	Pace(ctx context.Context, pace orderer.Pace) orderer.Verdict
-	Start(ctx context.Context, start orderer.Start) orderer.Verdict
-	Stop(ctx context.Context, stop orderer.Stop) orderer.Verdict
-}
-
 // Options are what a keeper is made from.
 type Options struct {
 	Name        string
@@ -65,7 +57,7 @@
 	PeerAddress netip.AddrPort
 	Store       storer.Store
 	Decoder     Decoder
-	Workers     Workers
+	Workers     holder.Workers
 	Advisor     asker.Advisor
 	Messenger   *messenger.Messenger
 	Clock       clockwork.Clock
@@ -91,12 +83,14 @@
 	// nextJob is the first record of the jobs that was not read.
 	nextJob int64
 	// beatAt is when the holder was last heard, failedAt when a read of it last failed.
-	beatAt    time.Time
-	failedAt  time.Time
-	heardTo   int64
-	listedAt  time.Time
-	holder    *holder
-	lastEpoch int64
+	beatAt   time.Time
+	failedAt time.Time
+	heardTo  int64
+	listedAt time.Time
+	// holder and dispatcher are nil while another host has the claim.
+	holder     *holder.Holder
+	dispatcher *dispatcher.Dispatcher
+	lastEpoch  int64
 	// triedEpoch is the highest that this host tried to claim.
 	triedEpoch int64
 	triedAt    time.Time
@@ -167,9 +161,10 @@
 func (k *Keeper) Leave(ctx context.Context) {
 	k.mu.Lock()
 	k.leaving = true
-	h := k.holder
+	h, claim := k.holder, k.state.Claim
+	k.resign("The host leaves.")
 	k.mu.Unlock()
 	if h != nil {
-		h.release(ctx)
+		h.Release(ctx, claim)
 	}
 }
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -23,9 +23,12 @@
 	"slices"
 	"time"
 
-	"lentilrock.example/internal/fleet/adviser"
+	"lentilrock.example/internal/fleet/chooser"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/minder"
+	"lentilrock.example/internal/fleet/questioner"
+	"lentilrock.example/internal/fleet/saver"
 	"lentilrock.example/internal/fleet/tasker"
 )
 
@@ -42,26 +45,14 @@
 const (
 	// renewalSlack is how long a former holder may go on renewing until a worker refuses it.
 	renewalSlack = 2 * time.Second
-	// silence is how long a worker may go without an answer before nothing is started there.
-	silence = 1500 * time.Millisecond
 	// silentAfter is when the runs at a worker that does not answer are kept.
 	silentAfter = 800 * time.Millisecond
-	// minStartTimeout is added to three round trips before a start counts as unanswered.
-	minStartTimeout = 120 * time.Millisecond
-	// maxStartTimeout bounds it.
-	maxStartTimeout = 500 * time.Millisecond
-	// roundTripWeight smooths round trips: one in eight, as TCP does.
-	roundTripWeight = 8
 	// retryPause is the pause before an order without an answer is sent again.
 	retryPause = 300 * time.Millisecond
 	// refusedPause is the pause before a task is placed again that a worker refused.
 	refusedPause = 50 * time.Millisecond
 	// unknownGrace is how long a run of a job that is not known is left alone.
 	unknownGrace = 2 * time.Second
-	// defaultQuestions bounds the questions for advice while the hosts are not counted.
-	defaultQuestions = 2
-	// runsPerEpoch separates the numbers of runs of successive holders.
-	runsPerEpoch = 256
 )
 
 // Options are the settings of a dispatcher.
@@ -89,24 +80,16 @@
 	state *journaler.State
 
 	queues  map[string]describer.Queue
-	workers map[string]*worker
+	workers map[string]*minder.Worker
 	// ordered are the workers by name.
-	ordered []*worker
+	ordered []*minder.Worker
 	jobs    map[describer.JobID]*tasker.Job
-	shares  adviser.Shares
+	chooser chooser.Chooser
 
-	dirty map[*tasker.Job]bool
-	// batch numbers what is taken to be kept; ends are acknowledged once theirs is kept.
-	batch int64
-	// savedBatch is the newest batch that is kept.
-	savedBatch int64
-	orders     []Order
-	isFenced   bool
-	// isRosterOld reports that the roster must be written again.
-	isRosterOld bool
-	// questions counts those for advice that are under way, maxQuestions bounds them.
-	questions    int
-	maxQuestions int
+	saver     saver.Saver
+	questions questioner.Questioner
+	orders    []Order
+	isFenced  bool
 }
 
 // New returns a dispatcher that takes over the jobs of a state.
@@ -120,9 +103,9 @@
 		options.Report = func(string, ...any) {}
 	}
 	d := &Dispatcher{
-		options: options, now: now, claimedAt: now, state: state, maxQuestions: defaultQuestions,
-		queues: make(map[string]describer.Queue), workers: make(map[string]*worker),
-		jobs: make(map[describer.JobID]*tasker.Job), dirty: make(map[*tasker.Job]bool), batch: 1,
+		options: options, now: now, claimedAt: now, state: state,
+		queues: make(map[string]describer.Queue), workers: make(map[string]*minder.Worker),
+		jobs: make(map[describer.JobID]*tasker.Job), chooser: chooser.Chooser{RemoteFactor: options.RemoteFactor},
 	}
 	ids := make([]describer.JobID, 0, len(state.Jobs))
 	for id := range state.Jobs {
@@ -134,7 +117,7 @@
 	}
 	for _, member := range state.Roster.Members {
 		w := d.addWorker(describer.Worker{ID: member.ID, Address: member.Address})
-		w.isSilent, w.isEnrolled = member.IsSilent, !member.IsSilent
+		w.IsSilent, w.IsEnrolled = member.IsSilent, !member.IsSilent
 	}
 	for _, id := range ids {
 		d.adoptSilent(state.Jobs[id])
@@ -213,71 +196,25 @@
 func (d *Dispatcher) order(o Order) { d.orders = append(d.orders, o) }
 
 // HasProgress reports whether there is something to keep.
-func (d *Dispatcher) HasProgress() bool { return len(d.dirty) > 0 || d.isRosterOld }
+func (d *Dispatcher) HasProgress() bool { return d.saver.HasProgress() }
 
 // TakeProgress returns the records that must be kept, with the number of their batch.
 func (d *Dispatcher) TakeProgress() ([]journaler.Record, int64) {
-	batch := d.batch
-	d.batch++
-	jobs := make([]*tasker.Job, 0, len(d.dirty))
-	for j := range d.dirty {
-		jobs = append(jobs, j)
-	}
-	clear(d.dirty)
-	slices.SortFunc(jobs, func(a, b *tasker.Job) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
-	records := make([]journaler.Record, 0, len(jobs))
-	for _, j := range jobs {
-		record, err := journaler.NewProgress(j.Spec.ID, j.Progress(d.options.Epoch, d.isSilent))
-		if err != nil {
-			d.options.Report("A job's progress can't be encoded.", "job", j.Spec.ID, "error", err.Error())
-			d.dirty[j] = true
-			continue
-		}
-		j.Batch = batch
-		records = append(records, record)
-	}
-	if d.isRosterOld {
-		records = append(records, d.roster(batch)...)
+	records, batch, err := d.saver.Take(d.options.Epoch, d.ordered)
+	if err != nil {
+		d.options.Report("Progress can't be encoded.", "error", err.Error())
 	}
 	return records, batch
 }
 
 // Saved reports that the batches up to one are kept, so their ends may be forgotten.
-func (d *Dispatcher) Saved(batch int64) {
-	d.savedBatch = max(d.savedBatch, batch)
-	for _, w := range d.ordered {
-		w.ends.Saved(batch)
-		if w.rosterBatch > 0 && w.rosterBatch <= d.savedBatch {
-			w.isEnrolled, w.rosterBatch = !w.isSilent, 0
-		}
-	}
-}
-
-// roster returns the record of the workers at which runs may be.
-func (d *Dispatcher) roster(batch int64) []journaler.Record {
-	roster := journaler.Roster{Epoch: d.options.Epoch}
-	for _, w := range d.ordered {
-		roster.Members = append(roster.Members, journaler.Member{ID: w.info.ID, Address: w.info.Address, IsSilent: w.isSilent})
-	}
-	record, err := journaler.NewRoster(roster)
-	if err != nil {
-		d.options.Report("The roster can't be encoded.", "error", err.Error())
-		return nil
-	}
-	d.isRosterOld = false
-	for _, w := range d.ordered {
-		if !w.isEnrolled && w.rosterBatch == 0 {
-			w.rosterBatch = batch
-		}
-	}
-	return []journaler.Record{record}
-}
+func (d *Dispatcher) Saved(batch int64) { d.saver.Saved(batch, d.ordered) }
 
 // forgetJobs drops the jobs of which nothing runs and whose end is kept. Before that, an
 // older record of a job that is read back would begin it anew.
 func (d *Dispatcher) forgetJobs() {
 	for id, j := range d.jobs {
-		if j.IsOver() && len(j.Runs) == 0 && !d.dirty[j] && j.Batch <= d.savedBatch {
+		if j.IsOver() && len(j.Runs) == 0 && d.saver.IsKept(j) {
 			delete(d.jobs, id)
 		}
 	}
--- a/internal/fleet/dispatcher/run.go
+++ b/internal/fleet/dispatcher/run.go
@@ -5,13 +5,14 @@
 
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/minder"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/fleet/tasker"
 )
 
 // takeRunning takes in a run that a worker lists. It is stopped where it is not wanted.
-func (d *Dispatcher) takeRunning(w *worker, running orderer.Running) {
-	r, found := w.runs[runKey{running.Task, running.Run}]
+func (d *Dispatcher) takeRunning(w *minder.Worker, running orderer.Running) {
+	r, found := w.Runs[minder.RunKey{Ref: running.Task, Number: running.Run}]
 	if !found {
 		r = d.adopt(w, running)
 	}
@@ -38,13 +39,12 @@
 }
 
 // adopt takes in a run that this holder did not start. The newest run of a task stays.
-func (d *Dispatcher) adopt(w *worker, running orderer.Running) *tasker.Run {
+func (d *Dispatcher) adopt(w *minder.Worker, running orderer.Running) *tasker.Run {
 	r := &tasker.Run{
-		Ref: running.Task, Number: running.Run, Worker: w.info.ID, SentAt: d.now, AnsweredAt: d.now,
+		Ref: running.Task, Number: running.Run, Worker: w.Info.ID, SentAt: d.now, AnsweredAt: d.now,
 		Charge: d.chargeOf(w, running.Task),
 	}
-	w.runs[keyOf(r)] = r
-	w.used = w.used.Plus(r.Charge)
+	w.Add(r)
 	d.link(r)
 	return r
 }
@@ -65,17 +65,17 @@
 	t.LastRun = max(t.LastRun, r.Number)
 	if !j.Begun {
 		j.Begun = true
-		d.dirty[j] = true
+		d.saver.Changed(j)
 	}
 	d.prefer(t, r)
 }
 
 // chargeOf returns the room that a task takes; one that is not known takes all of it.
-func (d *Dispatcher) chargeOf(w *worker, ref describer.TaskRef) describer.Resources {
+func (d *Dispatcher) chargeOf(w *minder.Worker, ref describer.TaskRef) describer.Resources {
 	entry, found := d.state.Jobs[ref.Job]
 	if !found || entry.Job == nil || ref.Step >= len(entry.Job.Steps) {
-		d.options.Report("A worker runs what is not known.", "worker", w.info.ID, "task", ref.String())
-		return w.info.Capacity
+		d.options.Report("A worker runs what is not known.", "worker", w.Info.ID, "task", ref.String())
+		return w.Info.Capacity
 	}
 	return entry.Job.Steps[ref.Step].Charge()
 }
@@ -105,8 +105,7 @@
 // settle takes a run away: it is certain that it is not at work and never will be.
 func (d *Dispatcher) settle(r *tasker.Run) {
 	if w, found := d.workers[r.Worker]; found {
-		delete(w.runs, keyOf(r))
-		w.used = w.used.Minus(r.Charge)
+		w.Remove(r)
 	}
 	if r.Job != nil {
 		delete(r.Job.Runs, r)
@@ -132,7 +131,7 @@
 }
 
 // takeEnd takes in the end of a run.
-func (d *Dispatcher) takeEnd(w *worker, end orderer.Ended) {
+func (d *Dispatcher) takeEnd(w *minder.Worker, end orderer.Ended) {
 	if j, found := d.jobs[end.Task.Job]; found {
 		if t := j.Task(end.Task); t != nil {
 			t.LastRun = max(t.LastRun, end.Run)
@@ -140,15 +139,15 @@
 			d.countEnd(w, t, end)
 		}
 	}
-	if r, found := w.runs[runKey{end.Task, end.Run}]; found {
+	if r, found := w.Runs[minder.RunKey{Ref: end.Task, Number: end.Run}]; found {
 		d.settle(r)
 	}
 }
 
-func (d *Dispatcher) countEnd(w *worker, t *tasker.Task, end orderer.Ended) {
+func (d *Dispatcher) countEnd(w *minder.Worker, t *tasker.Task, end orderer.Ended) {
 	switch end.Kind {
 	case orderer.EndDone:
-		w.trust.Succeeded()
+		w.Trust.Succeeded()
 		d.taskDone(t)
 	case orderer.EndFailed:
 		d.taskFailed(w, t, end.Run)
@@ -170,17 +169,17 @@
 		j.Outcome = journaler.OutcomeCompleted
 		d.options.Report("A job is completed.", "job", j.Spec.ID)
 	}
-	d.dirty[j] = true
+	d.saver.Changed(j)
 }
 
 // taskFailed counts a failure against the task and its worker.
-func (d *Dispatcher) taskFailed(w *worker, t *tasker.Task, number int64) {
+func (d *Dispatcher) taskFailed(w *minder.Worker, t *tasker.Task, number int64) {
 	j := t.Step.Job
-	failures := t.Fail(number, w.info.ID)
-	d.dirty[j] = true
-	d.options.Report("A task failed.", "task", t.Ref().String(), "run", number, "worker", w.info.ID, "failures", failures)
-	if w.trust.Failed(d.now, j.Spec.ID) {
-		d.options.Report("A worker is distrusted.", "worker", w.info.ID)
+	failures := t.Fail(number, w.Info.ID)
+	d.saver.Changed(j)
+	d.options.Report("A task failed.", "task", t.Ref().String(), "run", number, "worker", w.Info.ID, "failures", failures)
+	if w.Trust.Failed(d.now, j.Spec.ID) {
+		d.options.Report("A worker is distrusted.", "worker", w.Info.ID)
 	}
 	if t.Step.Spec.LongRunning || failures < max(j.Queue.MaxAttempts, 1) || j.IsOver() {
 		return
@@ -205,16 +204,16 @@
 		return
 	}
 	r.StopSentAt = d.now
-	d.order(orderer.Stop{Worker: w.info, Task: r.Ref, Run: r.Number, Token: d.options.Epoch})
+	d.order(orderer.Stop{Worker: w.Info, Task: r.Ref, Run: r.Number, Token: d.options.Epoch})
 }
 
 // runAt returns a run at a worker, or nil where it was settled.
-func (d *Dispatcher) runAt(id string, ref describer.TaskRef, number int64) (*worker, *tasker.Run) {
+func (d *Dispatcher) runAt(id string, ref describer.TaskRef, number int64) (*minder.Worker, *tasker.Run) {
 	w, found := d.workers[id]
 	if !found {
 		return nil, nil
 	}
-	return w, w.runs[runKey{ref, number}]
+	return w, w.Runs[minder.RunKey{Ref: ref, Number: number}]
 }
 
 // StartAnswered takes in what became of a start.
@@ -226,15 +225,15 @@
 	}
 	if verdict != orderer.Accepted {
 		d.options.Report("A start was not taken.", "task", start.Task.String(), "run", start.Run,
-			"worker", w.info.ID, "verdict", verdict.String())
+			"worker", w.Info.ID, "verdict", verdict.String())
 	}
 	switch verdict {
 	case orderer.Accepted:
 		r.AnsweredAt = now
-		w.measure(now.Sub(r.SentAt))
+		w.Measure(now.Sub(r.SentAt))
 	case orderer.Unknown:
 		if r.AnsweredAt.IsZero() {
-			w.isDoubted = true
+			w.IsDoubted = true
 			d.stop(r)
 		}
 	case orderer.Fenced:
@@ -245,15 +244,15 @@
 }
 
 // startRefused takes back a start that the worker did not and will not carry out.
-func (d *Dispatcher) startRefused(w *worker, r *tasker.Run, verdict orderer.Verdict) {
+func (d *Dispatcher) startRefused(w *minder.Worker, r *tasker.Run, verdict orderer.Verdict) {
 	if t := r.Task; t != nil {
 		switch verdict {
 		case orderer.BadTicket:
-			t.Step.Advice.Drop(w.info.ID)
+			t.Step.Advice.Drop(w.Info.ID)
 		case orderer.Superseded:
-			t.LastRun += runsPerEpoch
+			t.LastRun += tasker.RunsPerEpoch
 		case orderer.Unhealthy, orderer.NotSent:
-			w.trust.Refused(d.now)
+			w.Trust.Refused(d.now)
 		}
 		t.NotBefore = d.now.Add(refusedPause)
 	}
@@ -277,19 +276,3 @@
 		d.lookNow(w)
 	}
 }
-
-// measure takes in the time that a start took.
-func (w *worker) measure(took time.Duration) {
-	if w.roundTrip == 0 {
-		w.roundTrip = took
-	}
-	w.roundTrip += (took - w.roundTrip) / roundTripWeight
-}
-
-// startTimeout is when a start to a worker counts as unanswered.
-func (w *worker) startTimeout() time.Duration {
-	if w.roundTrip == 0 {
-		return maxStartTimeout
-	}
-	return min(3*w.roundTrip+minStartTimeout, maxStartTimeout)
-}
--- a/internal/fleet/dispatcher/worker.go
+++ b/internal/fleet/dispatcher/worker.go
@@ -5,75 +5,18 @@
 	"strings"
 	"time"
 
-	"lentilrock.example/internal/fleet/acknowledger"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/leaser"
+	"lentilrock.example/internal/fleet/minder"
 	"lentilrock.example/internal/fleet/orderer"
-	"lentilrock.example/internal/fleet/tasker"
-	"lentilrock.example/internal/fleet/truster"
 )
 
-// runKey names a run at a worker.
-type runKey struct {
-	ref    describer.TaskRef
-	number int64
-}
-
-func keyOf(r *tasker.Run) runKey { return runKey{r.Ref, r.Number} }
-
-// worker is a worker as the holder sees it.
-type worker struct {
-	info describer.Worker
-	// isListed reports that the host list has the worker.
-	isListed bool
-	// isEnrolled reports that the newest kept roster has the worker as one that answers;
-	// rosterBatch is the batch of the roster that is to say so, 0 where none is under way.
-	isEnrolled  bool
-	rosterBatch int64
-	// isSilent reports that the worker has not answered for a while.
-	isSilent bool
-	// isDoubted reports that a start was not answered, and nothing was heard since.
-	isDoubted bool
-	// roundTrip is the smoothed time of a start.
-	roundTrip time.Duration
-	// heardClock is the worker's clock in the newest answer that was taken in.
-	heardClock time.Duration
-	runs       map[runKey]*tasker.Run
-	used       describer.Resources
-	reserved   reservation
-	// isSynced reports that the worker answered under the present token.
-	isSynced bool
-	// incarnation is the life that answered last; 0 before the first answer.
-	incarnation int64
-	answeredAt  time.Time
-	isFailing   bool
-	lease       leaser.Lease
-	ends        acknowledger.Ends
-	trust       truster.Trust
-}
-
-// room returns what is free on a worker.
-func (w *worker) room() describer.Resources { return w.info.Capacity.Minus(w.used) }
-
-// mayHoldOld reports whether runs of a former holder could be at the worker that are not
-// known. Those at a silent worker are.
-func (w *worker) mayHoldOld(now time.Time) bool {
-	return !w.isSynced && !w.isSilent && !w.lease.HasLapsed(now)
-}
-
-// takesWork reports whether tasks may be started on a worker. The entry and the answers
-// must be of one life, since another may have another capacity.
-func (d *Dispatcher) takesWork(w *worker) bool {
-	return w.isListed && w.isEnrolled && w.isSynced && !w.isFailing && !w.isDoubted && !w.info.Draining && w.lease.IsKnown() &&
-		(w.info.Incarnation == 0 || w.info.Incarnation == w.incarnation) && d.now.Sub(w.answeredAt) < silence && w.trust.TakesWork(d.now)
-}
-
 // WorkerIDs returns the workers to look after, in order.
 func (d *Dispatcher) WorkerIDs() []string {
 	ids := make([]string, 0, len(d.ordered))
 	for _, w := range d.ordered {
-		ids = append(ids, w.info.ID)
+		ids = append(ids, w.Info.ID)
 	}
 	return ids
 }
@@ -83,26 +26,25 @@
 func (d *Dispatcher) SetWorkers(now time.Time, listed []describer.Worker) {
 	d.now = now
 	for _, w := range d.ordered {
-		w.isListed = false
+		w.IsListed = false
 	}
 	for _, info := range listed {
 		w, found := d.workers[info.ID]
 		if !found {
 			w = d.addWorker(info)
-			d.isRosterOld = true
+			d.saver.RosterChanged()
 		}
-		if found && info.Draining && !w.info.Draining {
-			d.options.Report("A worker drains.", "worker", info.ID, "remaining", info.Remaining, "runs", len(w.runs))
+		if found && info.Draining && !w.Info.Draining {
+			d.options.Report("A worker drains.", "worker", info.ID, "remaining", info.Remaining, "runs", len(w.Runs))
 		}
-		w.info, w.isListed = info, true
+		w.Info, w.IsListed = info, true
 	}
-	slices.SortFunc(d.ordered, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	slices.SortFunc(d.ordered, func(a, b *minder.Worker) int { return strings.Compare(a.Info.ID, b.Info.ID) })
 }
 
 // addWorker adds a worker at which a former holder may have runs.
-func (d *Dispatcher) addWorker(info describer.Worker) *worker {
-	w := &worker{info: info, runs: make(map[runKey]*tasker.Run)}
-	w.lease.LapseAt = d.claimedAt.Add(leaser.LapseOf(d.options.HoldMax) + renewalSlack)
+func (d *Dispatcher) addWorker(info describer.Worker) *minder.Worker {
+	w := minder.New(info, d.claimedAt.Add(leaser.LapseOf(d.options.HoldMax)+renewalSlack))
 	d.workers[info.ID] = w
 	d.ordered = append(d.ordered, w)
 	return w
@@ -110,28 +52,27 @@
 
 // forgetWorkers drops workers that are not listed and can run nothing.
 func (d *Dispatcher) forgetWorkers() {
-	d.ordered = slices.DeleteFunc(d.ordered, func(w *worker) bool {
-		if w.isListed || len(w.runs) > 0 || !w.lease.HasLapsed(d.now) || d.now.Sub(w.answeredAt) < silence {
+	d.ordered = slices.DeleteFunc(d.ordered, func(w *minder.Worker) bool {
+		if w.IsListed || len(w.Runs) > 0 || !w.HasLapsed(d.now) {
 			return false
 		}
-		d.options.Report("A worker is gone.", "worker", w.info.ID)
-		delete(d.workers, w.info.ID)
-		d.isRosterOld = true
+		d.options.Report("A worker is gone.", "worker", w.Info.ID)
+		delete(d.workers, w.Info.ID)
+		d.saver.RosterChanged()
 		return true
 	})
 }
 
 // tickWorker settles what a silent worker can't run any more and repeats orders.
-func (d *Dispatcher) tickWorker(w *worker) {
-	isLapsed := w.lease.HasLapsed(d.now) && d.now.Sub(w.answeredAt) > silence
+func (d *Dispatcher) tickWorker(w *minder.Worker) {
+	isGone := w.HasLapsed(d.now) || w.HasLeft()
 	d.watchSilence(w)
-	isLeft := w.info.Draining && !w.isListed && w.isFailing
-	for _, r := range w.runs {
+	for _, r := range w.Runs {
 		switch {
-		case isLapsed || isLeft:
-			d.options.Report("A run is lost with its worker.", "task", r.Ref.String(), "run", r.Number, "worker", w.info.ID)
+		case isGone:
+			d.options.Report("A run is lost with its worker.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID)
 			d.settle(r)
-		case r.Stopping && r.StopAckedAt.IsZero() && d.now.Sub(r.StopSentAt) >= retryPause && !w.isFailing:
+		case r.Stopping && r.StopAckedAt.IsZero() && d.now.Sub(r.StopSentAt) >= retryPause && !w.IsFailing:
 			d.sendStop(r)
 		}
 	}
@@ -139,25 +80,20 @@
 
 // watchSilence keeps the runs at a worker that does not answer, so that a later holder need
 // not suspect it of any other, and takes the worker back when it answers.
-func (d *Dispatcher) watchSilence(w *worker) {
-	isSilent := w.isSynced && w.isFailing && d.now.Sub(w.answeredAt) > silentAfter
-	if w.isSilent == isSilent || !w.isSynced {
+func (d *Dispatcher) watchSilence(w *minder.Worker) {
+	isSilent := w.IsSynced && w.IsFailing && d.now.Sub(w.AnsweredAt) > silentAfter
+	if w.IsSilent == isSilent || !w.IsSynced {
 		return
 	}
-	w.isSilent, w.isEnrolled, w.rosterBatch = isSilent, false, 0
-	d.isRosterOld = true
-	for _, r := range w.runs {
+	w.IsSilent, w.IsEnrolled, w.RosterBatch = isSilent, false, 0
+	d.saver.RosterChanged()
+	for _, r := range w.Runs {
 		if r.Job != nil {
-			d.dirty[r.Job] = true
+			d.saver.Changed(r.Job)
 		}
 	}
 }
 
-func (d *Dispatcher) isSilent(id string) bool {
-	w, found := d.workers[id]
-	return found && w.isSilent
-}
-
 // adoptSilent takes in the runs that a former holder had at workers that did not answer.
 func (d *Dispatcher) adoptSilent(entry *journaler.Entry) {
 	j, found := d.jobs[entry.ID]
@@ -187,18 +123,18 @@
 	return d.look(w), true
 }
 
-func (d *Dispatcher) look(w *worker) orderer.Look {
+func (d *Dispatcher) look(w *minder.Worker) orderer.Look {
 	now := d.now
-	look := orderer.Look{Worker: w.info, Token: d.options.Epoch, Acknowledged: w.ends.Acknowledged(), SentAt: now}
-	if w.isSynced {
+	look := orderer.Look{Worker: w.Info, Token: d.options.Epoch, Acknowledged: w.Ends.Acknowledged(), SentAt: now}
+	if w.IsSynced {
 		look.Wait = d.options.LookWait
-		look.Deadline = w.lease.Extend(now, d.options.Lease)
+		look.Deadline = w.Lease.Extend(now, d.options.Lease)
 	}
 	return look
 }
 
 // lookNow looks at a worker beside its usual looks, without a wait.
-func (d *Dispatcher) lookNow(w *worker) {
+func (d *Dispatcher) lookNow(w *minder.Worker) {
 	look := d.look(w)
 	look.Wait = 0
 	d.order(look)
@@ -213,7 +149,7 @@
 	}
 	switch verdict {
 	case orderer.Accepted:
-		if w.incarnation == inventory.Incarnation && inventory.Clock < w.heardClock {
+		if w.Incarnation == inventory.Incarnation && inventory.Clock < w.HeardClock {
 			// A later answer overtook this one.
 			return
 		}
@@ -221,30 +157,30 @@
 	case orderer.Fenced:
 		d.isFenced = true
 	default:
-		if !w.isFailing {
-			d.options.Report("A worker does not answer.", "worker", w.info.ID, "verdict", verdict.String())
+		if !w.IsFailing {
+			d.options.Report("A worker does not answer.", "worker", w.Info.ID, "verdict", verdict.String())
 		}
-		w.isFailing = true
+		w.IsFailing = true
 	}
 }
 
-func (d *Dispatcher) takeInventory(w *worker, look orderer.Look, inventory orderer.Inventory) {
-	if w.incarnation != inventory.Incarnation {
+func (d *Dispatcher) takeInventory(w *minder.Worker, look orderer.Look, inventory orderer.Inventory) {
+	if w.Incarnation != inventory.Incarnation {
 		d.newLife(w, inventory.Incarnation)
 	}
-	if w.isFailing {
-		d.options.Report("A worker answers again.", "worker", w.info.ID)
+	if w.IsFailing {
+		d.options.Report("A worker answers again.", "worker", w.Info.ID)
 	}
-	w.isFailing, w.isSynced, w.isDoubted, w.answeredAt = false, true, false, d.now
-	w.heardClock = inventory.Clock
-	w.lease.Sample(d.now, inventory.Clock)
+	w.IsFailing, w.IsSynced, w.IsDoubted, w.AnsweredAt = false, true, false, d.now
+	w.HeardClock = inventory.Clock
+	w.Lease.Sample(d.now, inventory.Clock)
 	d.takeEnds(w, inventory.Ended)
-	present := make(map[runKey]bool, len(inventory.Running))
+	present := make(map[minder.RunKey]bool, len(inventory.Running))
 	for _, running := range inventory.Running {
-		present[runKey{running.Task, running.Run}] = true
+		present[minder.RunKey{Ref: running.Task, Number: running.Run}] = true
 		d.takeRunning(w, running)
 	}
-	for key, r := range w.runs {
+	for key, r := range w.Runs {
 		if !present[key] {
 			d.takeAbsent(r, look.SentAt)
 		}
@@ -253,11 +189,11 @@
 
 // newLife settles what ran in a former life of a worker. A start without an answer may
 // still be carried out by the new one, so it stays until a stop has been taken.
-func (d *Dispatcher) newLife(w *worker, incarnation int64) {
-	if w.incarnation != 0 {
-		d.options.Report("A worker began a new life.", "worker", w.info.ID, "runs_lost", len(w.runs))
+func (d *Dispatcher) newLife(w *minder.Worker, incarnation int64) {
+	if w.Incarnation != 0 {
+		d.options.Report("A worker began a new life.", "worker", w.Info.ID, "runs_lost", len(w.Runs))
 	}
-	for _, r := range w.runs {
+	for _, r := range w.Runs {
 		if r.AnsweredAt.IsZero() {
 			r.Stopping, r.StopAckedAt = true, time.Time{}
 			d.sendStop(r)
@@ -265,24 +201,18 @@
 		}
 		d.settle(r)
 	}
-	w.incarnation = incarnation
-	w.ends = acknowledger.Ends{}
-	w.trust = truster.Trust{}
+	w.BeginLife(incarnation)
 }
 
 // takeEnds takes in the new ends of a worker. The worker may forget them once what they
 // changed is kept.
-func (d *Dispatcher) takeEnds(w *worker, ends []orderer.Ended) {
+func (d *Dispatcher) takeEnds(w *minder.Worker, ends []orderer.Ended) {
 	for _, end := range ends {
-		if !w.ends.Take(end.Number) {
+		if !w.Ends.Take(end.Number) {
 			continue
 		}
 		d.takeEnd(w, end)
-		batch := d.batch
-		if !d.HasProgress() {
-			batch--
-		}
-		w.ends.Mark(end.Number, batch)
+		w.Ends.Mark(end.Number, d.saver.Batch())
 	}
-	w.ends.Saved(d.savedBatch)
+	w.Ends.Saved(d.saver.LastSaved())
 }
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -13,6 +13,7 @@
 package tasker
 
 import (
+	"slices"
 	"time"
 
 	"lentilrock.example/internal/fleet/adviser"
@@ -21,6 +22,9 @@
 	"lentilrock.example/internal/fleet/ranker"
 )
 
+// RunsPerEpoch separates the numbers of runs of successive holders.
+const RunsPerEpoch = 256
+
 // Job is a job that was accepted and has not ended.
 type Job struct {
 	Spec  *describer.Job
@@ -237,6 +241,9 @@
 	return describer.TaskRef{Job: t.Step.Job.Spec.ID, Occurrence: t.Step.Occurrence, Step: t.Step.Index, Index: t.Index}
 }
 
+// NextRun returns the number of a task's next run, above those of former holders.
+func (t *Task) NextRun(epoch int64) int64 { return max(t.LastRun+1, (epoch-1)*RunsPerEpoch+1) }
+
 // IsWaiting reports whether a task may be started.
 func (t *Task) IsWaiting(now time.Time) bool {
 	return !t.Done && t.Run == nil && !t.NotBefore.After(now)
@@ -303,3 +310,21 @@
 	(*failures)[number] = true
 	return len(*failures)
 }
+
+// Waiting returns the steps whose turn has come and that have tasks to start, best first.
+func Waiting(jobs map[describer.JobID]*Job, now time.Time) []*Step {
+	var steps []*Step
+	for _, j := range jobs {
+		for _, s := range j.Steps {
+			if s.IsReady(now) && s.WaitingTasks(now) > 0 {
+				s.Rank = ranker.Of(ranker.Candidate{
+					Priority: j.Queue.Priority, LongRunning: s.Spec.LongRunning,
+					Objective: j.Objective, Remaining: j.Chain(), Work: j.Work(), Offset: j.Offset,
+				}, now)
+				steps = append(steps, s)
+			}
+		}
+	}
+	slices.SortFunc(steps, func(a, b *Step) int { return a.Rank.Compare(b.Rank) })
+	return steps
+}
