Let the lease of a silent worker lapse, settle replaced workers, read settings again on SIGHUP

Change: a worker that does not answer is promised nothing more; the answer that another life is there settles its runs; SIGHUP reads the settings again.

--- a/internal/cli/commander/entrycmd.go
+++ b/internal/cli/commander/entrycmd.go
@@ -28,6 +28,6 @@
 		return errors.Errorf("entry: %w", err)
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
 	return host.Run(context.Background(), signals)
 }
--- a/internal/fleet/dispatcher/worker.go
+++ b/internal/fleet/dispatcher/worker.go
@@ -113,7 +113,8 @@
 }
 
 // NextLook returns the next look at a worker; false means that the worker is gone. A worker
-// that has not answered under the present token is promised nothing.
+// that does not answer, or has not under the present token, is promised nothing: what it may
+// run has to lapse some time.
 func (d *Dispatcher) NextLook(now time.Time, id string) (orderer.Look, bool) {
 	w, found := d.workers[id]
 	if !found {
@@ -126,7 +127,7 @@
 func (d *Dispatcher) look(w *minder.Worker) orderer.Look {
 	now := d.now
 	look := orderer.Look{Worker: w.Info, Token: d.options.Epoch, Acknowledged: w.Ends.Acknowledged(), SentAt: now}
-	if w.IsSynced {
+	if w.IsSynced && !w.IsFailing {
 		look.Wait = d.options.LookWait
 		look.Deadline = w.Lease.Extend(now, d.options.Lease)
 	}
@@ -156,6 +157,8 @@
 		d.takeInventory(w, look, inventory)
 	case orderer.Fenced:
 		d.isFenced = true
+	case orderer.OtherIncarnation:
+		d.workerReplaced(w)
 	default:
 		if !w.IsFailing {
 			d.options.Report("A worker does not answer.", "worker", w.Info.ID, "verdict", verdict.String())
@@ -187,6 +190,17 @@
 	}
 }
 
+// workerReplaced settles what ran at a worker whose address is another worker's now.
+func (d *Dispatcher) workerReplaced(w *minder.Worker) {
+	if len(w.Runs) > 0 {
+		d.options.Report("A worker was replaced.", "worker", w.Info.ID, "runs_lost", len(w.Runs))
+	}
+	w.IsFailing, w.Lease.LapseAt = true, time.Time{}
+	for _, r := range w.Runs {
+		d.settle(r)
+	}
+}
+
 // newLife settles what ran in a former life of a worker. A start without an answer may
 // still be carried out by the new one, so it stays until a stop has been taken.
 func (d *Dispatcher) newLife(w *minder.Worker, incarnation int64) {
