--- a/internal/fleet/dispatcher/worker.go
+++ b/internal/fleet/dispatcher/worker.go
@@ -174,6 +174,10 @@
 	if w.IsFailing {
 		d.options.Report("A worker answers again.", "worker", w.Info.ID)
 	}
+	if !w.IsSynced {
+		// From now on the worker obeys no former holder, which could have renewed until here.
+		w.Lease.LapseAt = d.now.Add(leaser.LapseOf(d.options.HoldMax))
+	}
 	w.IsFailing, w.IsSynced, w.IsDoubted, w.AnsweredAt = false, true, false, d.now
 	w.HeardClock = inventory.Clock
 	w.Lease.Sample(d.now, inventory.Clock)
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -289,16 +289,16 @@
 	if offset < s.hostOffsets[name] {
 		return nil
 	}
-	s.hostOffsets[name] = offset
 	if len(r.Value) == 0 {
 		delete(s.Hosts, name)
+		s.hostOffsets[name] = offset
 		return nil
 	}
 	var host Host
 	if err := cbor.Unmarshal(r.Value, &host); err != nil {
 		return errors.Errorf("read host %s: %w", name, err)
 	}
-	s.Hosts[name] = host
+	s.Hosts[name], s.hostOffsets[name] = host, offset
 	return nil
 }
 
--- /dev/null
+++ b/internal/fleet/journaler/journaler_test.go
@@ -0,0 +1,119 @@
+package journaler_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
+)
+
+func record[T any](t *testing.T, make func(T) (journaler.Record, error), value T) journaler.Record {
+	r, err := make(value)
+	require.NoError(t, err)
+	return r
+}
+
+func TestClaims(t *testing.T) {
+	first := journaler.Claim{Epoch: 1, Host: "a", Incarnation: "x"}
+	second := journaler.Claim{Epoch: 2, Host: "b", Incarnation: "y"}
+	released := first
+	released.Released = true
+	for _, test := range []struct {
+		name   string
+		claims []journaler.Claim
+		want   journaler.Claim
+	}{
+		{"the first claim", []journaler.Claim{first}, first},
+		{"a later claim", []journaler.Claim{first, second}, second},
+		{"a release", []journaler.Claim{first, released}, released},
+		{"a release that comes behind a later claim", []journaler.Claim{first, second, released}, second},
+		{"a second claim of the epoch", []journaler.Claim{second, {Epoch: 2, Host: "c", Incarnation: "z"}}, second},
+		{"a claim after a release", []journaler.Claim{first, released, second}, second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			state := journaler.New()
+			for i, claim := range test.claims {
+				_, err := state.Apply(record(t, journaler.NewClaim, claim), int64(i))
+				require.NoError(t, err)
+			}
+			require.Equal(t, test.want, state.Claim)
+		})
+	}
+}
+
+func TestBeatsOfTheHolderCount(t *testing.T) {
+	state := journaler.New()
+	for i, r := range []journaler.Record{
+		record(t, journaler.NewClaim, journaler.Claim{Epoch: 2, Host: "a"}),
+		record(t, journaler.NewBeat, journaler.Beat{Epoch: 2}),
+		record(t, journaler.NewBeat, journaler.Beat{Epoch: 1}),
+	} {
+		_, err := state.Apply(r, int64(i))
+		require.NoError(t, err)
+	}
+	require.Equal(t, int64(1), state.HolderOffset, "a beat of a former holder is no sign of life")
+}
+
+func TestJobs(t *testing.T) {
+	job := describer.Job{ID: "a", Spec: "first", Steps: []describer.Step{{Count: 1}}}
+	repeated := job
+	repeated.Spec = "second"
+	t.Run("the first submission of an id counts", func(t *testing.T) {
+		state := journaler.New()
+		for i, j := range []describer.Job{job, repeated} {
+			_, err := state.Apply(record(t, journaler.NewJob, &j), int64(i))
+			require.NoError(t, err)
+		}
+		require.Equal(t, "first", state.Jobs["a"].Job.Spec)
+		require.Equal(t, int64(0), state.Jobs["a"].JobOffset)
+	})
+	t.Run("progress that was read before changes nothing", func(t *testing.T) {
+		state := journaler.New()
+		completed, err := journaler.NewProgress("a", journaler.Progress{Epoch: 1, Outcome: journaler.OutcomeCompleted})
+		require.NoError(t, err)
+		begun, err := journaler.NewProgress("a", journaler.Progress{Epoch: 1, Begun: true})
+		require.NoError(t, err)
+		for _, entry := range []struct {
+			record journaler.Record
+			offset int64
+		}{{record(t, journaler.NewJob, &job), 0}, {completed, 7}, {begun, 3}} {
+			_, err := state.Apply(entry.record, entry.offset)
+			require.NoError(t, err)
+		}
+		require.Equal(t, describer.JobCompleted, state.Jobs["a"].JobState())
+	})
+	t.Run("a cancel may be read before its job", func(t *testing.T) {
+		state := journaler.New()
+		cancel, err := journaler.NewCancel("a", journaler.Cancel{})
+		require.NoError(t, err)
+		_, err = state.Apply(cancel, 1)
+		require.NoError(t, err)
+		_, err = state.Apply(record(t, journaler.NewJob, &job), 0)
+		require.NoError(t, err)
+		require.Equal(t, describer.JobCancelled, state.Jobs["a"].JobState())
+	})
+	t.Run("a job that is forgotten is gone", func(t *testing.T) {
+		state := journaler.New()
+		_, err := state.Apply(record(t, journaler.NewJob, &job), 0)
+		require.NoError(t, err)
+		for i, r := range journaler.Forget("a") {
+			_, err := state.Apply(r, int64(1+i))
+			require.NoError(t, err)
+		}
+		require.Empty(t, state.Jobs)
+	})
+}
+
+func TestRecordsThatCanNotBeRead(t *testing.T) {
+	state := journaler.New()
+	for _, r := range []journaler.Record{
+		{Key: "unknown", Value: []byte("x")}, {Key: ""}, {Key: "c", Value: []byte("x")}, {Key: "b", Value: []byte{0xff}},
+		{Key: "h/a", Value: []byte("x")}, {Key: "j/a", Value: []byte("x")}, {Key: "p/a", Value: []byte("x")}, {Key: "w", Value: []byte("x")},
+	} {
+		_, err := state.Apply(r, 5)
+		require.Error(t, err, "key %q", r.Key)
+	}
+	require.Equal(t, journaler.New(), state, "a record that can't be read changes nothing")
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -56,5 +56,37 @@
   'if c.Replaces != present.Version {' 'if false {' $cell 'TestOfTwoRacingOperators'
 mutant "8 a snapshot below the state is ignored" internal/cell/applier/state.go \
   'if next.Next <= s.Next {' 'if false {' internal/cell/applier 'TestSnapshot'
+core=internal/fleet/dispatcher
+mutant "fence: a job is forgotten only once its end is kept" $core/dispatcher.go \
+  ' && d.saver.IsKept(j)' '' $core 'TestJobs/a_job_whose_end'
+mutant "fence: a silent worker is promised nothing" $core/worker.go \
+  'if w.IsSynced && !w.IsFailing {' 'if w.IsSynced {' $core 'TestWorkers/the_runs_of_a_dead'
+mutant "fence: a replaced worker runs nothing" $core/worker.go \
+  'd.workerReplaced(w)' 'w.IsFailing = true' $core 'TestWorkers/the_runs_of_a_replaced'
+mutant "fence: the entry and the life must agree" internal/fleet/minder/minder.go \
+  'isOneLife := w.Info.Incarnation == 0 ||' 'isOneLife := true ||' $core 'TestWorkers/a_new_life'
+mutant "fence: a new holder asks all of the roster" $core/dispatcher.go \
+  'range state.Roster.Members' 'range []journaler.Member{}' $core 'TestTakeover/a_worker_that_the_list'
+mutant "fence: what is left of ended jobs takes room" $core/run.go \
+  'return entry.Job.Steps[ref.Step].Charge()' 'return describer.Resources{}' $core 'TestTakeover/what_is_left'
+mutant "fence: overtaken answers are ignored" $core/worker.go \
+  'inventory.Clock < w.HeardClock' 'false' $core 'TestWorkers/an_answer'
+mutant "fence: ends are acknowledged once kept" internal/fleet/saver/saver.go \
+  'return s.taken + 1' 'return 0' $core 'TestTakeover/an_end_is'
+mutant "fence: a failure counts once" internal/fleet/tasker/tasker.go \
+  '(*failures)[number] = true' '(*failures)[int64(len(*failures))+1000] = true' $core 'TestTakeover/a_failure'
+mutant "fence: tasks wait for silent workers" internal/fleet/minder/minder.go \
+  'return !w.IsSynced && !w.IsSilent && !w.Lease.HasLapsed(now)' 'return false' $core 'TestTakeover/tasks_that_may'
+mutant "fence: the runs at a silent worker are kept" internal/fleet/tasker/progress.go \
+  't.Run != nil && isSilent(t.Run.Worker)' 'false' $core 'TestTakeover/a_successor'
+mutant "fence: lost orders are settled before a second start" $core/run.go \
+  '			w.IsDoubted = true
+			d.stop(r)' '			d.settle(r)' $core 'TestWorkers/a_start_without'
+mutant "fence: no start before the roster is kept" internal/fleet/minder/minder.go \
+  'w.IsListed && w.IsEnrolled &&' 'w.IsListed &&' $core 'TestWorkers/a_worker_gets'
+mutant "fence: room is kept for lasting tasks" $core/place.go \
+  'if s.Spec.LongRunning {' 'if false {' $core 'TestAdvice/room_is_made'
+mutant "fence: a release does not hide a later claim" internal/fleet/journaler/journaler.go \
+  'claim.Epoch <= s.Claim.Epoch && !isRelease' 'isRelease && false' internal/fleet/journaler 'TestClaims'
 echo "mutants: $survived survived"
 [ "$survived" = 0 ]
