--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -143,6 +143,13 @@
 	return !k.leaving && k.knowsCell()
 }
 
+// IsHolder reports whether this host orders at the workers.
+func (k *Keeper) IsHolder() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder != nil
+}
+
 // knowsCell reports whether the configuration and the log were read once.
 func (k *Keeper) knowsCell() bool {
 	return k.config.Version > 0 && !k.jobsAt.IsZero() && !k.claimsAt.IsZero()
