--- a/internal/cli/commander/entrycmd.go
+++ b/internal/cli/commander/entrycmd.go
@@ -7,7 +7,10 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"lentilrock.example/internal/logs/spooler"
 	"lentilrock.example/platform"
 )
 
@@ -19,10 +22,11 @@
 	if err != nil {
 		return fail(ExitUsage, err)
 	}
-	logger, err := newLogger("info", streams{err: s.out})
-	if err != nil {
-		return errors.Errorf("open log: %w", err)
-	}
+	lines := spooler.New(s.out)
+	defer lines.Close()
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoding), lines, zap.InfoLevel))
 	host, err := platform.NewHost(settings, logger)
 	if err != nil {
 		return errors.Errorf("entry: %w", err)
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -150,6 +150,44 @@
 	return k.holder != nil
 }
 
+// Counts are figures of a host for its metrics.
+type Counts struct {
+	ConfigVersion int64
+	Epoch         int64
+	// Holder and Ready are 1 where the host is.
+	Holder  int
+	Ready   int
+	Jobs    int
+	Pending int
+	Workers int
+	// JobsAge and ClaimsAge are the ages of the host's views.
+	JobsAge   time.Duration
+	ClaimsAge time.Duration
+}
+
+// Counts returns the present figures.
+func (k *Keeper) Counts() Counts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	counts := Counts{
+		ConfigVersion: k.config.Version, Epoch: k.state.Claim.Epoch, Jobs: len(k.state.Jobs),
+		Workers: len(k.listed), JobsAge: now.Sub(k.jobsAt), ClaimsAge: now.Sub(k.claimsAt),
+	}
+	if k.holder != nil {
+		counts.Holder = 1
+	}
+	if !k.leaving && k.knowsCell() {
+		counts.Ready = 1
+	}
+	for _, e := range k.state.Jobs {
+		if e.Job != nil && e.JobState() == describer.JobQueued {
+			counts.Pending++
+		}
+	}
+	return counts
+}
+
 // knowsCell reports whether the configuration and the log were read once.
 func (k *Keeper) knowsCell() bool {
 	return k.config.Version > 0 && !k.jobsAt.IsZero() && !k.claimsAt.IsZero()
--- a/internal/entry/keeper/keeper_test.go
+++ b/internal/entry/keeper/keeper_test.go
@@ -80,7 +80,7 @@
 	c.store.Put(topic, storer.Entry{Record: journaler.Record{Key: key, Value: data}})
 }
 
-func (c *cell) start(name, incarnation string) *keeper.Keeper {
+func (c *cell) start(name, incarnation string) {
 	k := keeper.New(keeper.Options{
 		Name: name, Incarnation: incarnation, DataCentre: "brno", Store: c.store, Decoder: decoder{},
 		Workers: c.fleet, Advisor: noAdvice{}, Clock: clockwork.NewRealClock(),
@@ -88,7 +88,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go k.Run(ctx)
 	c.hosts, c.ends = append(c.hosts, k), append(c.ends, cancel)
-	return k
 }
 
 func (c *cell) end() {
@@ -124,11 +123,13 @@
 	return c.hosts[host].Status(ctx, id)
 }
 
-func (c *cell) requireState(want describer.JobState, id describer.JobID) {
+// requireCompleted checks that every host tells that a job is completed, and that no task
+// ran twice at a time.
+func (c *cell) requireCompleted(id describer.JobID) {
 	for i := range c.hosts {
 		state, err := c.status(i, id)
 		require.NoError(c.t, err)
-		require.Equal(c.t, want, state, "host %d", i)
+		require.Equal(c.t, describer.JobCompleted, state, "host %d", i)
 	}
 	overlaps, overfull := c.fleet.Faults()
 	require.Empty(c.t, overlaps)
@@ -146,7 +147,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		for host := range c.hosts {
-			c.requireState(describer.JobCompleted, describer.JobID(fmt.Sprintf("job-%d", host)))
+			c.requireCompleted(describer.JobID(fmt.Sprintf("job-%d", host)))
 			require.Zero(t, c.hosts[host].Pending("orders"))
 		}
 	})
@@ -194,7 +195,7 @@
 		time.Sleep(2200 * time.Millisecond)
 		require.GreaterOrEqual(t, c.holder(), 0, "nobody took over")
 		time.Sleep(4 * time.Second)
-		c.requireState(describer.JobCompleted, "a")
+		c.requireCompleted("a")
 	})
 }
 
@@ -210,7 +211,7 @@
 		time.Sleep(700 * time.Millisecond)
 		require.GreaterOrEqual(t, c.holder(), 0, "a released claim is taken at once")
 		time.Sleep(4 * time.Second)
-		c.requireState(describer.JobCompleted, "a")
+		c.requireCompleted("a")
 	})
 }
 
@@ -229,7 +230,7 @@
 			c.start(fmt.Sprintf("h-%d", i), "second life")
 		}
 		time.Sleep(6 * time.Second)
-		c.requireState(describer.JobCompleted, "a")
+		c.requireCompleted("a")
 	})
 }
 
@@ -249,7 +250,7 @@
 		time.Sleep(10 * time.Second)
 		c.store.SetDown(false)
 		time.Sleep(3 * time.Second)
-		c.requireState(describer.JobCompleted, "a")
+		c.requireCompleted("a")
 		_, err = c.status(0, "b")
 		require.True(t, errors.Is(err, keeper.ErrNoJob), "a refused job never runs")
 	})
@@ -264,7 +265,7 @@
 		time.Sleep(500 * time.Millisecond)
 		c.store.LoseAnswers(4)
 		time.Sleep(5 * time.Second)
-		c.requireState(describer.JobCompleted, "a")
+		c.requireCompleted("a")
 		require.Equal(t, 8, c.fleet.Done())
 	})
 }
--- a/internal/fleet/chooser/room.go
+++ b/internal/fleet/chooser/room.go
@@ -98,3 +98,13 @@
 	}
 	return now.Sub(r.SentAt).Seconds() * float64(r.Charge.MilliCPU) / 1000
 }
+
+// HasReservation reports whether room is kept for a step on one of the workers.
+func HasReservation(s *tasker.Step, workers []*minder.Worker, now time.Time) bool {
+	for _, w := range workers {
+		if w.Reserved.Step == s && now.Before(w.Reserved.Until) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleet/dispatcher/reserve.go
+++ b/internal/fleet/dispatcher/reserve.go
@@ -19,7 +19,7 @@
 		t.FreeSince = d.now
 		return
 	}
-	if d.hasReservation(s) {
+	if chooser.HasReservation(s, d.ordered, d.now) {
 		return
 	}
 	w, victims := chooser.MakeRoom(s, d.ordered, d.now.Sub(t.FreeSince), d.now)
@@ -32,12 +32,3 @@
 		d.stop(r)
 	}
 }
-
-func (d *Dispatcher) hasReservation(s *tasker.Step) bool {
-	for _, w := range d.ordered {
-		if w.Reserved.Step == s && d.now.Before(w.Reserved.Until) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/fleet/dispatcher/run.go
+++ b/internal/fleet/dispatcher/run.go
@@ -23,7 +23,7 @@
 	if r.Task != nil {
 		r.Task.SaveCheckpoint(running.Checkpoint)
 	}
-	if r.Task == nil && d.now.Sub(r.SentAt) < unknownGrace && !d.isKnown(running.Task.Job) {
+	if r.Task == nil && d.now.Sub(r.SentAt) < unknownGrace && !d.state.IsKnown(running.Task.Job) {
 		d.link(r)
 		return
 	}
@@ -32,12 +32,6 @@
 	}
 }
 
-// isKnown reports whether the log had a job.
-func (d *Dispatcher) isKnown(id describer.JobID) bool {
-	entry, found := d.state.Jobs[id]
-	return found && entry.Job != nil
-}
-
 // adopt takes in a run that this holder did not start. The newest run of a task stays.
 func (d *Dispatcher) adopt(w *minder.Worker, running orderer.Running) *tasker.Run {
 	r := &tasker.Run{
@@ -72,12 +66,11 @@
 
 // chargeOf returns the room that a task takes; one that is not known takes all of it.
 func (d *Dispatcher) chargeOf(w *minder.Worker, ref describer.TaskRef) describer.Resources {
-	entry, found := d.state.Jobs[ref.Job]
-	if !found || entry.Job == nil || ref.Step >= len(entry.Job.Steps) {
+	if !d.state.IsKnown(ref.Job) || ref.Step >= len(d.state.Jobs[ref.Job].Job.Steps) {
 		d.options.Report("A worker runs what is not known.", "worker", w.Info.ID, "task", ref.String())
 		return w.Info.Capacity
 	}
-	return entry.Job.Steps[ref.Step].Charge()
+	return d.state.Jobs[ref.Job].Job.Steps[ref.Step].Charge()
 }
 
 // prefer keeps the newer of two runs of a task and stops the other.
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -220,6 +220,12 @@
 	}
 }
 
+// IsKnown reports whether the log had the submission of a job.
+func (s *State) IsKnown(id describer.JobID) bool {
+	entry, found := s.Jobs[id]
+	return found && entry.Job != nil
+}
+
 // Apply folds a record into the state and returns the entry of the job that it changed, if
 // any. An error means that the record can't be read; the state is unchanged.
 func (s *State) Apply(r Record, offset int64) (*Entry, error) {
