--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -40,9 +40,6 @@
 	defaultLookWait = 700 * time.Millisecond
 	// defaultHoldMax is the longest lease that a worker grants.
 	defaultHoldMax = 6 * time.Second
-)
-
-const (
 	// renewalSlack is how long a former holder may go on renewing until a worker refuses it.
 	renewalSlack = 2 * time.Second
 	// silentAfter is when the runs at a worker that does not answer are kept.
