--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -35,7 +35,7 @@
 // Defaults of the options.
 const (
 	// defaultLease outlives the detection of a dead holder and a takeover.
-	defaultLease = 4500 * time.Millisecond
+	defaultLease = 3500 * time.Millisecond
 	// defaultLookWait renews each lease several times before it ends.
 	defaultLookWait = 700 * time.Millisecond
 	// defaultHoldMax is the longest lease that a worker grants.
