--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	f := follower.Follower{Store: store, Clock: clock, Topic: storer.Cell, Reset: reset, Apply: apply}
+//	f := follower.Follower{Store: store, Clock: clock, Topic: storer.Jobs, Reset: reset, Apply: apply}
 //	f.Run(ctx)
 package follower
 
--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -65,7 +65,7 @@
 	// nothing, once the claim is over.
 	With func(h *Holder, change func(now time.Time, d *dispatcher.Dispatcher)) bool
 	// Fenced is called within With when a later holder is in force.
-	Fenced func(h *Holder, reason string)
+	Fenced func(reason string)
 	// Kept is told of records that were appended, with the offset of the first.
 	Kept func(records []journaler.Record, offset int64)
 	// Ask asks for advice.
@@ -138,7 +138,7 @@
 			hasProgress, isFenced = d.HasProgress(), d.IsFenced()
 			started = h.newLookers(d)
 			if isFenced {
-				h.options.Fenced(h, "A worker obeys a later holder.")
+				h.options.Fenced("A worker obeys a later holder.")
 			}
 		})
 		if isFenced {
@@ -280,7 +280,7 @@
 		case err == nil:
 			return offset, true
 		case errors.Is(err, storer.ErrFenced):
-			h.with(func(time.Time, *dispatcher.Dispatcher) { h.options.Fenced(h, "The store obeys a later holder.") })
+			h.with(func(time.Time, *dispatcher.Dispatcher) { h.options.Fenced("The store obeys a later holder.") })
 			return 0, false
 		}
 		pauser.Pause(ctx, h.options.Clock, savePause)
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -68,6 +68,9 @@
 		k.applyRecord(k.jobsAt, e)
 		k.nextJob = max(k.nextJob, e.Offset+1)
 	}
+	if k.holder != nil {
+		k.dispatcher.SetAskers(len(k.state.Hosts))
+	}
 }
 
 // applyClaims folds what the holders wrote.
@@ -91,9 +94,6 @@
 		k.options.Logger.Warn("log: A record was ignored.", zap.String("key", e.Key), zap.Int64("offset", e.Offset), zap.String("error", err.Error()))
 		return
 	}
-	if k.holder != nil {
-		k.dispatcher.SetAskers(len(k.state.Hosts))
-	}
 	if k.holder != nil && changed != nil {
 		k.dispatcher.JobChanged(now, changed)
 		k.holder.Kick()
@@ -123,14 +123,20 @@
 
 func (k *Keeper) resetWorkers(entries []storer.Entry) {
 	k.mu.Lock()
+	defer k.mu.Unlock()
+	// Under one lock with what follows: a host that takes the cell up must not see no workers.
 	clear(k.listed)
-	k.mu.Unlock()
-	k.applyWorkers(entries)
+	k.listWorkers(entries)
 }
 
 func (k *Keeper) applyWorkers(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.listWorkers(entries)
+}
+
+// listWorkers takes in entries of the host list; the caller has the lock.
+func (k *Keeper) listWorkers(entries []storer.Entry) {
 	for _, e := range entries {
 		if len(e.Value) == 0 {
 			delete(k.listed, e.Key)
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -24,7 +24,7 @@
 	k.dispatcher.SetWorkers(now, k.workerList())
 	k.holder = holder.New(holder.Options{
 		Epoch: claim.Epoch, Store: k.options.Store, Workers: k.options.Workers, Clock: k.options.Clock,
-		Logger: k.options.Logger, With: k.with, Fenced: k.fenced, Kept: k.applyOwn, Ask: k.asker.Ask,
+		Logger: k.options.Logger, With: k.with, Fenced: k.resign, Kept: k.applyOwn, Ask: k.asker.Ask,
 	})
 	k.options.Logger.Info("claim: This host holds the cell.", zap.Int64("epoch", claim.Epoch),
 		zap.Int("jobs", len(k.state.Jobs)), zap.Int("workers", len(k.listed)))
@@ -42,15 +42,12 @@
 	return true
 }
 
-// fenced gives the cell up to a later holder; the caller has the lock.
-func (k *Keeper) fenced(_ *holder.Holder, reason string) { k.resign(reason) }
-
 // report writes a line of the dispatcher's into the log.
 func (k *Keeper) report(message string, fields ...any) {
 	k.options.Logger.Sugar().Infow("dispatch: "+message, fields...)
 }
 
-// resign ends what runs under the claim.
+// resign ends what runs under the claim; the caller has the lock.
 func (k *Keeper) resign(reason string) {
 	if k.holder == nil {
 		return
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -140,9 +140,11 @@
 func (k *Keeper) IsReady() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.leaving && k.knowsCell()
+	return k.isReady()
 }
 
+func (k *Keeper) isReady() bool { return !k.leaving && k.knowsCell() }
+
 // IsHolder reports whether this host orders at the workers.
 func (k *Keeper) IsHolder() bool {
 	k.mu.Lock()
@@ -177,7 +179,7 @@
 	if k.holder != nil {
 		counts.Holder = 1
 	}
-	if !k.leaving && k.knowsCell() {
+	if k.isReady() {
 		counts.Ready = 1
 	}
 	for _, e := range k.state.Jobs {
--- a/internal/fleet/dispatcher/run.go
+++ b/internal/fleet/dispatcher/run.go
@@ -19,7 +19,6 @@
 	if r.AnsweredAt.IsZero() {
 		r.AnsweredAt = d.now
 	}
-	r.Percent = running.Percent
 	if r.Task != nil {
 		r.Task.SaveCheckpoint(running.Checkpoint)
 	}
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -100,7 +100,6 @@
 	StopSentAt time.Time
 	// StopAckedAt is when the worker took the stop; the next look tells whether it is gone.
 	StopAckedAt time.Time
-	Percent     int
 }
 
 // NewJob returns a job as the log has it.
