--- a/internal/entry/elector/elector.go
+++ b/internal/entry/elector/elector.go
@@ -1,6 +1,6 @@
 // Package elector decides when a host claims the cell: when there is no holder, when the
 // holder left or ended, and when it has fallen silent in a log that could be read all the
-// while. Hosts near the store claim first.
+// while. Large hosts claim before small ones, and those near the store before the others.
 //
 // # Usage
 //
@@ -26,6 +26,8 @@
 	delayWeight = 4
 	// maxRankDelay bounds the handicap of hosts far from the store.
 	maxRankDelay = 600 * time.Millisecond
+	// smallDelay has larger hosts claim before small ones: a claim is read everywhere by then.
+	smallDelay = 700 * time.Millisecond
 	// rankSpread separates hosts of one data centre.
 	rankSpread = 60 * time.Millisecond
 	// maxReadAge is how old the view of the log may be: a read that waits, and its way.
@@ -44,6 +46,8 @@
 	FailedAt time.Time
 	// BeatAt is when the holder was last heard.
 	BeatAt time.Time
+	// IsSmall reports that a considerably larger host is known.
+	IsSmall bool
 	// StoreDelay is how long the store took for a call.
 	StoreDelay time.Duration
 	// TriedEpoch is the highest that this host tried to claim, at TriedAt.
@@ -78,5 +82,9 @@
 // rankDelay is a host's handicap.
 func rankDelay(v View) time.Duration {
 	spread := time.Duration(xxhash.Sum64String(v.Self) % uint64(rankSpread))
-	return min(delayWeight*v.StoreDelay, maxRankDelay) + spread
+	delay := min(delayWeight*v.StoreDelay, maxRankDelay) + spread
+	if v.IsSmall {
+		delay += smallDelay
+	}
+	return delay
 }
--- a/internal/entry/elector/elector_test.go
+++ b/internal/entry/elector/elector_test.go
@@ -40,6 +40,12 @@
 		{"a claim under way is waited for", func(v *elector.View) {
 			v.BeatAt, v.TriedEpoch, v.TriedAt = ago(9*time.Second), 5, ago(100*time.Millisecond)
 		}, 0},
+		{"a small host leaves it to larger ones for a while", func(v *elector.View) {
+			v.BeatAt, v.IsSmall = ago(2*time.Second), true
+		}, 0},
+		{"a small host claims where no larger one does", func(v *elector.View) {
+			v.BeatAt, v.IsSmall = ago(3*time.Second), true
+		}, 5},
 		{"a host far from the store waits longer", func(v *elector.View) {
 			v.BeatAt, v.StoreDelay = ago(1800*time.Millisecond), time.Second
 		}, 0},
--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -9,6 +9,7 @@
 
 	"lentilrock.example/internal/entry/elector"
 	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/entry/yielder"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/node/pauser"
 )
@@ -20,6 +21,10 @@
 	claimTimeout = time.Second
 	// claimPause separates a host's appends that the store refused.
 	claimPause = 400 * time.Millisecond
+	// firstClaimAfter lets the hosts of a new cell read of each other before one claims.
+	firstClaimAfter = 300 * time.Millisecond
+	// yieldEvery is how often a small holder looks for a larger host.
+	yieldEvery = 3 * time.Second
 	// refusedReadPause separates reads of a new holder that fail.
 	refusedReadPause = 50 * time.Millisecond
 )
@@ -44,13 +49,29 @@
 	if k.leaving || k.holder != nil || !k.knowsCell() || k.listedAt.IsZero() {
 		return 0, ""
 	}
+	if isNew := k.state.Claim.Epoch == 0; isNew && (k.announcedAt.IsZero() || now.Sub(k.announcedAt) < firstClaimAfter) {
+		return 0, ""
+	}
 	return elector.Decide(elector.View{
 		Self: k.options.Name, Incarnation: k.options.Incarnation, Claim: k.state.Claim,
-		ReadAt: k.claimsAt, FailedAt: k.failedAt, BeatAt: k.beatAt, StoreDelay: k.storeDelay,
+		ReadAt: k.claimsAt, FailedAt: k.failedAt, BeatAt: k.beatAt, StoreDelay: k.storeDelay, IsSmall: k.isSmall(),
 		TriedEpoch: k.triedEpoch, TriedAt: k.triedAt,
 	}, now)
 }
 
+// isSmall reports whether a considerably larger host is known; the caller has the lock.
+func (k *Keeper) isSmall() bool { return yielder.IsSmall(k.options.Cores, k.state.Hosts) }
+
+// yield gives the cell to a larger host where a small one holds it.
+func (k *Keeper) yield(ctx context.Context) {
+	for ctx.Err() == nil {
+		pauser.Pause(ctx, k.options.Clock, yieldEvery)
+		if k.IsHolder() && k.yielder.HasLarger(ctx) {
+			k.release(ctx, "A larger host can hold the cell.")
+		}
+	}
+}
+
 // claim appends a claim. Whether it won is read from the log. An epoch is tried once: the
 // store takes only the first append of an epoch's claim.
 func (k *Keeper) claim(ctx context.Context, epoch int64, reason string) {
@@ -121,7 +142,7 @@
 func (k *Keeper) announce(ctx context.Context) {
 	record, err := journaler.NewHost(journaler.Host{
 		Name: k.options.Name, Incarnation: k.options.Incarnation,
-		Address: k.options.PeerAddress.String(), DataCentre: k.options.DataCentre,
+		Address: k.options.PeerAddress.String(), DataCentre: k.options.DataCentre, Cores: k.options.Cores,
 	})
 	if err != nil {
 		k.options.Logger.Error("host: Can't be announced.", zap.String("error", err.Error()))
@@ -134,7 +155,8 @@
 		cancel()
 		if err == nil {
 			k.mu.Lock()
-			k.storeDelay = k.now().Sub(began)
+			k.announcedAt = k.now()
+			k.storeDelay = k.announcedAt.Sub(began)
 			k.mu.Unlock()
 			return
 		}
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -28,6 +28,7 @@
 	"lentilrock.example/internal/entry/holder"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/entry/submitter"
+	"lentilrock.example/internal/entry/yielder"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
@@ -54,6 +55,8 @@
 	Name        string
 	Incarnation string
 	DataCentre  string
+	// Cores is this host's share of a processor.
+	Cores       float64
 	PeerAddress netip.AddrPort
 	Store       storer.Store
 	Decoder     Decoder
@@ -71,6 +74,7 @@
 	submitter *submitter.Submitter
 	forwarder *forwarder.Forwarder
 	asker     *asker.Asker
+	yielder   *yielder.Yielder
 
 	mu     sync.Mutex
 	state  *journaler.State
@@ -95,7 +99,9 @@
 	triedEpoch int64
 	triedAt    time.Time
 	leaving    bool
-	storeDelay time.Duration
+	// announcedAt is when the peers could read of this host.
+	announcedAt time.Time
+	storeDelay  time.Duration
 }
 
 // New returns a keeper that knows nothing yet.
@@ -118,6 +124,9 @@
 		Self: options.Name, DataCentre: options.DataCentre, Advisor: options.Advisor,
 		Messenger: options.Messenger, Hosts: k.hosts, Clock: options.Clock,
 	})
+	k.yielder = yielder.New(yielder.Options{
+		Self: options.Name, Cores: options.Cores, Messenger: options.Messenger, Hosts: k.hosts, IsReady: k.IsReady,
+	})
 	return k
 }
 
@@ -130,6 +139,7 @@
 	}
 	duties.Go(func() { k.announce(ctx) })
 	duties.Go(func() { k.elect(ctx) })
+	duties.Go(func() { k.yield(ctx) })
 	duties.Wait()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -208,8 +218,15 @@
 func (k *Keeper) Leave(ctx context.Context) {
 	k.mu.Lock()
 	k.leaving = true
+	k.mu.Unlock()
+	k.release(ctx, "The host leaves.")
+}
+
+// release gives the claim back, if this host has it.
+func (k *Keeper) release(ctx context.Context, reason string) {
+	k.mu.Lock()
 	h, claim := k.holder, k.state.Claim
-	k.resign("The host leaves.")
+	k.resign(reason)
 	k.mu.Unlock()
 	if h != nil {
 		h.Release(ctx, claim)
--- /dev/null
+++ b/internal/entry/yielder/yielder_test.go
@@ -0,0 +1,59 @@
+package yielder_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilrock.example/internal/cell/descriptor"
+	"lentilrock.example/internal/entry/yielder"
+	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/peer/messenger"
+)
+
+func newMessenger(t *testing.T, name string) *messenger.Messenger {
+	m := messenger.New(messenger.Options{Self: messenger.Hello{Host: descriptor.HostID{Name: name}}})
+	t.Cleanup(m.Close)
+	return m
+}
+
+// newHost returns a host that answers whether it is ready.
+func newHost(t *testing.T, name string, cores float64, isReady bool) journaler.Host {
+	m := newMessenger(t, name)
+	yielder.New(yielder.Options{Self: name, Messenger: m, IsReady: func() bool { return isReady }})
+	server := httptest.NewServer(m)
+	t.Cleanup(server.Close)
+	return journaler.Host{Name: name, Cores: cores, Address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+func TestHasLarger(t *testing.T) {
+	gone := journaler.Host{Name: "gone", Cores: 0.8, Address: "127.0.0.1:1"}
+	for _, test := range []struct {
+		name      string
+		hosts     []journaler.Host
+		isSmall   bool
+		hasLarger bool
+	}{
+		{"hosts of one size", []journaler.Host{newHost(t, "b", 0.2, true)}, false, false},
+		{"a larger host that is ready", []journaler.Host{newHost(t, "b", 0.8, true)}, true, true},
+		{"a larger host that is not ready", []journaler.Host{newHost(t, "b", 0.8, false)}, true, false},
+		{"a larger host that is gone", []journaler.Host{gone}, true, false},
+		{"another one is ready", []journaler.Host{gone, newHost(t, "b", 0.4, true)}, true, true},
+		{"a host that does not say its size", []journaler.Host{newHost(t, "b", 0, true)}, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			known := map[string]journaler.Host{"a": {Name: "a", Cores: 0.2}}
+			for _, h := range test.hosts {
+				known[h.Name] = h
+			}
+			require.Equal(t, test.isSmall, yielder.IsSmall(0.2, known))
+			y := yielder.New(yielder.Options{
+				Self: "a", Cores: 0.2, Messenger: newMessenger(t, "a"),
+				Hosts: func() []journaler.Host { return append([]journaler.Host{{Name: "a", Cores: 0.2}}, test.hosts...) },
+			})
+			require.Equal(t, test.hasLarger, y.HasLarger(t.Context()))
+		})
+	}
+}
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -23,7 +23,7 @@
 
 // cell is a dispatcher with a fleet and a log in memory, under a clock of its own.
 type cell struct {
-	t      *testing.T
+	t testing.TB
 	clock  *clockwork.FakeClock
 	fleet  *fencer.Fleet
 	state  *journaler.State
@@ -41,7 +41,7 @@
 	isStaggered bool
 }
 
-func newCell(t *testing.T, workers int) *cell {
+func newCell(t testing.TB, workers int) *cell {
 	c := &cell{t: t, clock: clockwork.NewFakeClockAt(time.Unix(1_800_000_000, 0)), state: journaler.New()}
 	c.fleet = fencer.NewFleet(c.clock, c.work, c.need)
 	for i := range workers {
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -81,6 +81,8 @@
 	Incarnation string `cbor:"2,keyasint"`
 	Address     string `cbor:"3,keyasint"`
 	DataCentre  string `cbor:"4,keyasint"`
+	// Cores is the host's share of a processor; 0 where it does not say.
+	Cores float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Outcome is how a job ended.
