--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -23,7 +23,7 @@
 
 // cell is a dispatcher with a fleet and a log in memory, under a clock of its own.
 type cell struct {
-	t testing.TB
+	t      testing.TB
 	clock  *clockwork.FakeClock
 	fleet  *fencer.Fleet
 	state  *journaler.State
