Start copies of slow tasks, pace tasks that fill, forget ended jobs and silent hosts

- Speculative steps: a second run of a task starts on another worker while the first takes 2.5 times what its step's runs take, or its worker does not answer.
The first one that is done counts, the other is stopped.
A lost run is replaced by its copy.
- Tasks that fill work at the share of their speed that the readings of tasks which serve beside them allow (package pacer): a breach is over after two readings, the share comes back slowly.
A later holder gives back what a former one took.
- Ended jobs are forgotten once callers need not hear of them (bounds.status_s and a minute): submission and cancellation first, progress last, so no host reads a job without its end.
- Entry hosts announce themselves every 20 s and count as gone after 75 s of silence, so that questions for advice and peers' help do not go to hosts that were replaced long ago.

Ruled out for pacing: lowering the share by small steps (at one reading each 0.7 s it misses the objective for longer than the 4 s that are allowed).

Tests without the bench, each red before: TestCopies, TestPacing, pacer.TestNext, forgetter.TestDue, keeper.TestLargerHostTakesTheCell and TestEndedJobsAreForgotten, journaler "a job that is forgotten is gone". TestStoreIsDown handed its job to host 0 and relied on that host being the holder; it now asks for the holder.

--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/orderer"
@@ -42,6 +43,8 @@
 	endPause = 45 * time.Millisecond
 	// lookSlack is how much longer than its wait a look may take.
 	lookSlack = 600 * time.Millisecond
+	// forgetEvery is how often the records of jobs that ended long ago are removed.
+	forgetEvery = 5 * time.Second
 	// orderTimeout bounds an order to a worker.
 	orderTimeout = 500 * time.Millisecond
 )
@@ -100,6 +103,7 @@
 	ctx, h.cancel = context.WithCancel(ctx)
 	go h.loop(ctx)
 	go h.save(ctx)
+	go h.forget(ctx)
 	h.Kick()
 }
 
@@ -214,7 +218,8 @@
 		inventory, verdict := workers.Look(ordering, o)
 		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.Looked(now, o, inventory, verdict) })
 	case orderer.Pace:
-		workers.Pace(ordering, o)
+		verdict := workers.Pace(ordering, o)
+		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.PaceAnswered(now, o, verdict) })
 	case orderer.Start:
 		starting, cancel := context.WithTimeout(ctx, o.Timeout)
 		defer cancel()
@@ -267,6 +272,32 @@
 	}
 }
 
+// forget removes the records of jobs that ended long ago: their submissions first, so that
+// none is ever read without its end.
+func (h *Holder) forget(ctx context.Context) {
+	for ctx.Err() == nil {
+		pauser.Pause(ctx, h.options.Clock, forgetEvery)
+		var ids []describer.JobID
+		h.with(func(now time.Time, d *dispatcher.Dispatcher) { ids = d.Forgettable(now) })
+		if len(ids) == 0 {
+			continue
+		}
+		var records []journaler.Record
+		for _, id := range ids {
+			records = append(records, journaler.ForgetJob(id)...)
+		}
+		appending, cancel := context.WithTimeout(ctx, saveTimeout)
+		offset, err := h.options.Store.Append(appending, storer.Append{Topic: storer.Jobs, Records: records})
+		cancel()
+		if err != nil {
+			h.options.Logger.Info("history: Ended jobs are kept for now.", zap.Int("jobs", len(ids)), zap.String("error", err.Error()))
+			continue
+		}
+		h.options.Kept(records, offset)
+		h.with(func(_ time.Time, d *dispatcher.Dispatcher) { d.Forgotten(ids) })
+	}
+}
+
 // append appends records under the claim until they are kept; false means that the claim
 // is over. An append without an answer is repeated as it was, and takes effect once.
 func (h *Holder) append(ctx context.Context, records []journaler.Record) (int64, bool) {
--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -25,6 +25,8 @@
 	firstClaimAfter = 300 * time.Millisecond
 	// yieldEvery is how often a small holder looks for a larger host.
 	yieldEvery = 3 * time.Second
+	// announceEvery is how often a host shows its peers that it is still there.
+	announceEvery = 20 * time.Second
 	// refusedReadPause separates reads of a new holder that fail.
 	refusedReadPause = 50 * time.Millisecond
 )
@@ -60,7 +62,7 @@
 }
 
 // isSmall reports whether a considerably larger host is known; the caller has the lock.
-func (k *Keeper) isSmall() bool { return yielder.IsSmall(k.options.Cores, k.state.Hosts) }
+func (k *Keeper) isSmall() bool { return yielder.IsSmall(k.options.Cores, k.liveHosts()) }
 
 // yield gives the cell to a larger host where a small one holds it.
 func (k *Keeper) yield(ctx context.Context) {
@@ -138,7 +140,7 @@
 	}
 }
 
-// announce tells the peers where this host is.
+// announce tells the peers where this host is, again and again.
 func (k *Keeper) announce(ctx context.Context) {
 	record, err := journaler.NewHost(journaler.Host{
 		Name: k.options.Name, Incarnation: k.options.Incarnation,
@@ -155,10 +157,14 @@
 		cancel()
 		if err == nil {
 			k.mu.Lock()
-			k.announcedAt = k.now()
-			k.storeDelay = k.announcedAt.Sub(began)
+			now := k.now()
+			k.storeDelay = now.Sub(began)
+			if k.announcedAt.IsZero() {
+				k.announcedAt = now
+			}
 			k.mu.Unlock()
-			return
+			pauser.Pause(ctx, k.options.Clock, announceEvery)
+			continue
 		}
 		if !errors.Is(err, storer.ErrRefused) {
 			k.options.Logger.Warn("host: Was not announced.", zap.String("error", err.Error()))
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -65,11 +65,14 @@
 	defer k.mu.Unlock()
 	k.jobsAt = k.now()
 	for _, e := range entries {
+		if name, found := journaler.HostOf(e.Record); found {
+			k.heardHosts[name] = k.jobsAt
+		}
 		k.applyRecord(k.jobsAt, e)
 		k.nextJob = max(k.nextJob, e.Offset+1)
 	}
 	if k.holder != nil {
-		k.dispatcher.SetAskers(len(k.state.Hosts))
+		k.dispatcher.SetAskers(len(k.liveHosts()))
 	}
 }
 
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -13,6 +13,10 @@
 	"lentilrock.example/internal/fleet/journaler"
 )
 
+// hostSilence is when an entry host counts as gone that was not heard of: three
+// announcements, and an outage of the store in between.
+const hostSilence = 3*announceEvery + 15*time.Second
+
 // hold takes the cell up under a claim.
 func (k *Keeper) hold(now time.Time, claim journaler.Claim) {
 	options := k.options.Dispatch
@@ -20,7 +24,7 @@
 	options.Report = k.report
 	k.dispatcher = dispatcher.New(options, k.state, now)
 	k.dispatcher.SetConfig(k.config)
-	k.dispatcher.SetAskers(len(k.state.Hosts))
+	k.dispatcher.SetAskers(len(k.liveHosts()))
 	k.dispatcher.SetWorkers(now, k.workerList())
 	k.holder = holder.New(holder.Options{
 		Epoch: claim.Epoch, Store: k.options.Store, Workers: k.options.Workers, Clock: k.options.Clock,
@@ -57,13 +61,21 @@
 	k.holder, k.dispatcher = nil, nil
 }
 
-// hosts returns the entry hosts by name.
+// hosts returns the entry hosts that were heard of lately, by name.
 func (k *Keeper) hosts() []journaler.Host {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	return k.liveHosts()
+}
+
+// liveHosts does what hosts does; the caller has the lock. While the log can't be read,
+// nobody can be heard, so the view's own age does not count against a host.
+func (k *Keeper) liveHosts() []journaler.Host {
 	hosts := make([]journaler.Host, 0, len(k.state.Hosts))
 	for _, h := range k.state.Hosts {
-		hosts = append(hosts, h)
+		if k.jobsAt.Sub(k.heardHosts[h.Name]) <= hostSilence {
+			hosts = append(hosts, h)
+		}
 	}
 	slices.SortFunc(hosts, func(a, b journaler.Host) int { return strings.Compare(a.Name, b.Name) })
 	return hosts
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -79,6 +79,8 @@
 	mu     sync.Mutex
 	state  *journaler.State
 	config describer.Config
+	// heardHosts has when each entry host was last heard of.
+	heardHosts map[string]time.Time
 	// listed are the workers of the host list; missing those that left it lately.
 	listed map[string]describer.Worker
 	// jobsAt and claimsAt are when the topics were last read.
@@ -112,7 +114,7 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
-	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), heardTo: -1}
+	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), heardHosts: make(map[string]time.Time), heardTo: -1}
 	k.submitter = submitter.New(submitter.Options{
 		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
 	})
@@ -143,6 +145,7 @@
 	duties.Wait()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.leaving = true
 	k.resign("The host ends.")
 }
 
--- a/internal/entry/keeper/keeper_test.go
+++ b/internal/entry/keeper/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,11 +47,14 @@
 
 // cell is some hosts with one store and one fleet, in a synctest bubble.
 type cell struct {
-	t     *testing.T
-	store *fencer.Store
-	fleet *fencer.Fleet
-	hosts []*keeper.Keeper
-	ends  []context.CancelFunc
+	t       *testing.T
+	store   *fencer.Store
+	network network
+	fleet   *fencer.Fleet
+	hosts   []*keeper.Keeper
+	ends    []context.CancelFunc
+	// cores is the size of the hosts that start.
+	cores float64
 }
 
 func newCell(t *testing.T, hosts int) *cell {
@@ -81,13 +85,17 @@
 }
 
 func (c *cell) start(name, incarnation string) {
+	address, peers := c.network.add(name, incarnation)
 	k := keeper.New(keeper.Options{
-		Name: name, Incarnation: incarnation, DataCentre: "brno", Store: c.store, Decoder: decoder{},
+		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, PeerAddress: address, Messenger: peers, Store: c.store, Decoder: decoder{},
 		Workers: c.fleet, Advisor: noAdvice{}, Clock: clockwork.NewRealClock(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go k.Run(ctx)
-	c.hosts, c.ends = append(c.hosts, k), append(c.ends, cancel)
+	c.hosts, c.ends = append(c.hosts, k), append(c.ends, func() {
+		cancel()
+		c.network.cut(address)
+	})
 }
 
 func (c *cell) end() {
@@ -215,6 +223,51 @@
 	})
 }
 
+func TestLargerHostTakesTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 0)
+		defer c.end()
+		c.cores = 0.2
+		c.start("small", "life-0")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 0, c.holder())
+		require.NoError(t, c.submit(0, "a", 64))
+		c.cores = 0.8
+		c.start("large", "life-1")
+		time.Sleep(8 * time.Second)
+		require.Equal(t, 1, c.holder(), "the small host gives the claim to the large one")
+		c.requireCompleted("a")
+		c.ends[1]()
+		time.Sleep(6 * time.Second)
+		require.Equal(t, 0, c.holder(), "the small host holds the cell where no large one is left")
+	})
+}
+
+func TestEndedJobsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2)
+		defer c.end()
+		require.NoError(t, c.submit(0, "a", 4))
+		require.NoError(t, c.submit(1, "b", 4))
+		time.Sleep(2 * time.Minute)
+		c.requireCompleted("a")
+		c.end()
+		c.hosts, c.ends = nil, nil
+		c.start("h-0", "second life")
+		time.Sleep(2 * time.Minute)
+		c.requireCompleted("b")
+		time.Sleep(2 * time.Minute)
+		_, err := c.status(0, "a")
+		require.True(t, errors.Is(err, keeper.ErrNoJob), "%v", err)
+		require.Zero(t, c.hosts[0].Counts().Jobs)
+		page, err := c.store.Newest(t.Context(), storer.Jobs, "")
+		require.NoError(t, err)
+		for _, e := range page.Entries {
+			require.False(t, strings.HasPrefix(e.Key, "j/") && len(e.Value) > 0, e.Key)
+		}
+	})
+}
+
 func TestAllHostsDie(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 3)
@@ -238,7 +291,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 2)
 		defer c.end()
-		require.NoError(t, c.submit(0, "a", 64))
+		// The holder knows of it at once, without reading the log.
+		require.NoError(t, c.submit(c.holder(), "a", 64))
 		c.store.SetDown(true)
 		time.Sleep(1500 * time.Millisecond)
 		done := c.fleet.Done()
--- a/internal/entry/yielder/yielder.go
+++ b/internal/entry/yielder/yielder.go
@@ -60,13 +60,8 @@
 }
 
 // IsSmall reports whether one of the hosts is considerably larger than one of so many cores.
-func IsSmall(cores float64, hosts map[string]journaler.Host) bool {
-	for _, h := range hosts {
-		if isLarger(h, cores) {
-			return true
-		}
-	}
-	return false
+func IsSmall(cores float64, hosts []journaler.Host) bool {
+	return slices.ContainsFunc(hosts, func(h journaler.Host) bool { return isLarger(h, cores) })
 }
 
 func isLarger(h journaler.Host, cores float64) bool { return smallShare*h.Cores > cores }
--- a/internal/entry/yielder/yielder_test.go
+++ b/internal/entry/yielder/yielder_test.go
@@ -44,11 +44,7 @@
 		{"a host that does not say its size", []journaler.Host{newHost(t, "b", 0, true)}, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			known := map[string]journaler.Host{"a": {Name: "a", Cores: 0.2}}
-			for _, h := range test.hosts {
-				known[h.Name] = h
-			}
-			require.Equal(t, test.isSmall, yielder.IsSmall(0.2, known))
+			require.Equal(t, test.isSmall, yielder.IsSmall(0.2, test.hosts))
 			y := yielder.New(yielder.Options{
 				Self: "a", Cores: 0.2, Messenger: newMessenger(t, "a"),
 				Hosts: func() []journaler.Host { return append([]journaler.Host{{Name: "a", Cores: 0.2}}, test.hosts...) },
--- a/internal/fleet/chooser/chooser.go
+++ b/internal/fleet/chooser/chooser.go
@@ -21,6 +21,8 @@
 	failedBeforePenalty = 50.0
 	// mixPenalty keeps tasks that serve apart from those that fill.
 	mixPenalty = 20.0
+	// crowdPenalty spreads tasks that serve, which slow each other down.
+	crowdPenalty = 2.0
 	// remoteWeight makes a worker near the data win over a fuller one.
 	remoteWeight = 5.0
 	// rackWeight keeps a gang that wants one rack together.
@@ -57,7 +59,7 @@
 	lowest := 0.0
 	for _, w := range workers {
 		ticket, isAllowed := allows(t.Step, w, p, now)
-		if !isAllowed {
+		if !isAllowed || t.Run != nil && t.Run.Worker == w.Info.ID {
 			continue
 		}
 		score := c.Score(t.Step, w)
@@ -104,6 +106,9 @@
 	if s.Spec.TailTarget > 0 && w.Has(IsFilling) || s.Spec.Fills && w.Has(IsServing) {
 		score += mixPenalty
 	}
+	if s.Spec.TailTarget > 0 {
+		score += crowdPenalty * float64(w.Count(IsServing))
+	}
 	return score
 }
 
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 
 	"lentilrock.example/internal/fleet/chooser"
 	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/forgetter"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/minder"
 	"lentilrock.example/internal/fleet/questioner"
@@ -48,6 +49,11 @@
 	retryPause = 300 * time.Millisecond
 	// refusedPause is the pause before a task is placed again that a worker refused.
 	refusedPause = 50 * time.Millisecond
+	// defaultHistory is how long ended jobs are told of: what callers are promised, and time
+	// for submissions that were sent again and are under way.
+	defaultHistory = 3 * time.Minute
+	// maxForgotten bounds the jobs that are forgotten at a time.
+	maxForgotten = 200
 	// unknownGrace is how long a run of a job that is not known is left alone.
 	unknownGrace = 2 * time.Second
 )
@@ -59,6 +65,8 @@
 	Lease    time.Duration
 	LookWait time.Duration
 	HoldMax  time.Duration
+	// History is how long ended jobs are told of.
+	History time.Duration
 	// RemoteFactor is how much slower a task is away from its data.
 	RemoteFactor float64
 	// Report takes a line for the log: a message and pairs of key and value.
@@ -85,6 +93,7 @@
 
 	saver     saver.Saver
 	questions questioner.Questioner
+	forgetter forgetter.Forgetter
 	orders    []Order
 	isFenced  bool
 }
@@ -94,6 +103,7 @@
 	options.Lease = cmp.Or(options.Lease, defaultLease)
 	options.LookWait = cmp.Or(options.LookWait, defaultLookWait)
 	options.HoldMax = cmp.Or(options.HoldMax, defaultHoldMax)
+	options.History = cmp.Or(options.History, defaultHistory)
 	options.Lease = min(options.Lease, options.HoldMax)
 	options.RemoteFactor = max(options.RemoteFactor, 1)
 	if options.Report == nil {
@@ -142,14 +152,18 @@
 // JobChanged takes in a job that was accepted or cancelled.
 func (d *Dispatcher) JobChanged(now time.Time, entry *journaler.Entry) {
 	d.now = now
-	if entry == nil || entry.Job == nil || entry.Progress.Outcome != journaler.OutcomeNone {
+	if entry == nil || entry.Job == nil {
 		return
 	}
 	j, found := d.jobs[entry.ID]
+	if !found && (entry.Cancelled || entry.Progress.Outcome != journaler.OutcomeNone) {
+		d.forgetter.Ended(entry.ID, now)
+		return
+	}
+	if entry.Progress.Outcome != journaler.OutcomeNone {
+		return
+	}
 	if !found {
-		if entry.Cancelled {
-			return
-		}
 		j = tasker.NewJob(entry)
 		if q, listed := d.queues[j.Queue.Name]; listed {
 			j.Queue = q
@@ -213,6 +227,18 @@
 	for id, j := range d.jobs {
 		if j.IsOver() && len(j.Runs) == 0 && d.saver.IsKept(j) {
 			delete(d.jobs, id)
+			d.forgetter.Ended(id, d.now)
 		}
 	}
 }
+
+// Forgettable returns jobs that ended so long ago that their records may be removed.
+func (d *Dispatcher) Forgettable(now time.Time) []describer.JobID {
+	return d.forgetter.Due(now, d.options.History, maxForgotten)
+}
+
+// Forgotten takes in that the submissions of the jobs that Forgettable returned are removed.
+func (d *Dispatcher) Forgotten(ids []describer.JobID) {
+	d.forgetter.Forgotten(ids)
+	d.saver.Forget(ids)
+}
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -160,6 +160,8 @@
 		c.d.StartAnswered(now, o, c.fleet.Start(ctx, o))
 	case orderer.Stop:
 		c.d.StopAnswered(now, o, c.fleet.Stop(ctx, o))
+	case orderer.Pace:
+		c.d.PaceAnswered(now, o, c.fleet.Pace(ctx, o))
 	case orderer.Look:
 		inventory, verdict := c.fleet.Look(ctx, o)
 		c.d.Looked(now, o, inventory, verdict)
--- a/internal/fleet/dispatcher/place.go
+++ b/internal/fleet/dispatcher/place.go
@@ -29,6 +29,9 @@
 			d.placeStep(s)
 		}
 	}
+	if !isBlocked {
+		d.placeCopies()
+	}
 }
 
 // mayRunElsewhere reports whether a task of a former holder could be at a worker that has
@@ -92,6 +95,7 @@
 	}
 	r := &tasker.Run{
 		Task: t, Ref: t.Ref(), Job: j, Number: number, Worker: w.Info.ID, Charge: t.Step.Spec.Charge(), SentAt: d.now,
+		Percent: fullPercent,
 	}
 	t.Run, t.LastRun = r, number
 	w.Add(r)
--- a/internal/fleet/dispatcher/run.go
+++ b/internal/fleet/dispatcher/run.go
@@ -19,6 +19,7 @@
 	if r.AnsweredAt.IsZero() {
 		r.AnsweredAt = d.now
 	}
+	r.Usage = running.Usage
 	if r.Task != nil {
 		r.Task.SaveCheckpoint(running.Checkpoint)
 	}
@@ -26,7 +27,7 @@
 		d.link(r)
 		return
 	}
-	if r.Task == nil || r.Task.Run != r || r.Job.IsOver() || r.Task.Done {
+	if r.Task == nil || r.Job.IsOver() || r.Task.Done || r.Task.Run != r && !r.Task.Step.Spec.Speculative {
 		d.stop(r)
 	}
 }
@@ -35,7 +36,7 @@
 func (d *Dispatcher) adopt(w *minder.Worker, running orderer.Running) *tasker.Run {
 	r := &tasker.Run{
 		Ref: running.Task, Number: running.Run, Worker: w.Info.ID, SentAt: d.now, AnsweredAt: d.now,
-		Charge: d.chargeOf(w, running.Task),
+		Charge: d.chargeOf(w, running.Task), Percent: unknownPercent,
 	}
 	w.Add(r)
 	d.link(r)
@@ -77,7 +78,7 @@
 	if t.Run != nil && t.Run.Number >= r.Number {
 		return
 	}
-	if t.Run != nil {
+	if t.Run != nil && !t.Step.Spec.Speculative {
 		d.stop(t.Run)
 	}
 	t.Run = r
@@ -105,7 +106,7 @@
 	if r.Task == nil || r.Task.Run != r {
 		return
 	}
-	r.Task.Run = nil
+	r.Task.Run = r.Task.Copy()
 	d.breakGang(r)
 }
 
@@ -140,20 +141,29 @@
 	switch end.Kind {
 	case orderer.EndDone:
 		w.Trust.Succeeded()
-		d.taskDone(t)
+		d.learnDuration(w, t, end)
+		d.taskDone(t, end.Run)
 	case orderer.EndFailed:
 		d.taskFailed(w, t, end.Run)
 	}
 }
 
-// taskDone marks a task, or all tasks of its gang, as done.
-func (d *Dispatcher) taskDone(t *tasker.Task) {
+// learnDuration takes in how long a run took.
+func (d *Dispatcher) learnDuration(w *minder.Worker, t *tasker.Task, end orderer.Ended) {
+	if r, found := w.Runs[minder.RunKey{Ref: end.Task, Number: end.Run}]; found {
+		t.Step.LearnDuration(d.now.Sub(r.SentAt))
+	}
+}
+
+// taskDone marks a task, or all tasks of its gang, as done by a run, and stops other runs of
+// the task.
+func (d *Dispatcher) taskDone(t *tasker.Task, number int64) {
 	if !t.Finish() {
 		return
 	}
 	j := t.Step.Job
 	for r := range j.Runs {
-		if r.Task == t && t.Run != r {
+		if r.Task == t && r.Number != number {
 			d.stop(r)
 		}
 	}
--- a/internal/fleet/dispatcher/worker.go
+++ b/internal/fleet/dispatcher/worker.go
@@ -192,6 +192,7 @@
 			d.takeAbsent(r, look.SentAt)
 		}
 	}
+	d.pace(w)
 }
 
 // workerReplaced settles what ran at a worker whose address is another worker's now.
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -165,11 +165,18 @@
 	return record(progressPrefix+string(id), p)
 }
 
-// Forget returns the records that remove all that is kept of a job.
-func Forget(id describer.JobID) []Record {
-	return []Record{{Key: JobKey(id)}, {Key: cancelPrefix + string(id)}, {Key: progressPrefix + string(id)}}
+// ForgetJob returns the records that remove a job and its cancellation. Its progress says
+// that it has ended, so that goes last.
+func ForgetJob(id describer.JobID) []Record {
+	return []Record{{Key: JobKey(id)}, {Key: cancelPrefix + string(id)}}
 }
 
+// ForgetProgress returns the record that removes what was kept of a job's progress.
+func ForgetProgress(id describer.JobID) Record { return Record{Key: progressPrefix + string(id)} }
+
+// HostOf returns the entry host that a record announces; false where it announces none.
+func HostOf(r Record) (string, bool) { return strings.CutPrefix(r.Key, hostPrefix) }
+
 // Entry is what the log says of a job.
 type Entry struct {
 	ID describer.JobID
@@ -339,6 +346,7 @@
 
 func (s *State) applyProgress(id describer.JobID, r Record, offset int64) (*Entry, error) {
 	if len(r.Value) == 0 {
+		s.dropBare(id)
 		return nil, nil
 	}
 	var progress Progress
@@ -353,8 +361,16 @@
 	return e, nil
 }
 
+// dropBare forgets the entry of a job whose submission is gone or was never read.
+func (s *State) dropBare(id describer.JobID) {
+	if e, found := s.Jobs[id]; found && e.Job == nil {
+		delete(s.Jobs, id)
+	}
+}
+
 func (s *State) applyCancel(id describer.JobID, r Record, offset int64) (*Entry, error) {
 	if len(r.Value) == 0 {
+		s.dropBare(id)
 		return nil, nil
 	}
 	e := s.entry(id)
--- a/internal/fleet/journaler/journaler_test.go
+++ b/internal/fleet/journaler/journaler_test.go
@@ -1,6 +1,7 @@
 package journaler_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -95,14 +96,21 @@
 		require.Equal(t, describer.JobCancelled, state.Jobs["a"].JobState())
 	})
 	t.Run("a job that is forgotten is gone", func(t *testing.T) {
-		state := journaler.New()
-		_, err := state.Apply(record(t, journaler.NewJob, &job), 0)
+		completed, err := journaler.NewProgress("a", journaler.Progress{Epoch: 1, Outcome: journaler.OutcomeCompleted})
 		require.NoError(t, err)
-		for i, r := range journaler.Forget("a") {
-			_, err := state.Apply(r, int64(1+i))
-			require.NoError(t, err)
+		cancel, err := journaler.NewCancel("a", journaler.Cancel{})
+		require.NoError(t, err)
+		kept := []journaler.Record{record(t, journaler.NewJob, &job), cancel, completed}
+		removed := append(journaler.ForgetJob("a"), journaler.ForgetProgress("a"))
+		for _, readBetween := range []int{0, 2, 3} {
+			// A host that starts in between reads only the newest record of each key.
+			state := journaler.New()
+			for i, r := range append(slices.Clone(kept[readBetween:]), removed...) {
+				_, err := state.Apply(r, int64(i))
+				require.NoError(t, err)
+			}
+			require.Empty(t, state.Jobs, "from record %d on", readBetween)
 		}
-		require.Empty(t, state.Jobs)
 	})
 }
 
--- a/internal/fleet/minder/minder.go
+++ b/internal/fleet/minder/minder.go
@@ -15,6 +15,7 @@
 	"lentilrock.example/internal/fleet/acknowledger"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/leaser"
+	"lentilrock.example/internal/fleet/pacer"
 	"lentilrock.example/internal/fleet/tasker"
 	"lentilrock.example/internal/fleet/truster"
 )
@@ -80,6 +81,7 @@
 	Lease     leaser.Lease
 	Ends      acknowledger.Ends
 	Trust     truster.Trust
+	Pacer     pacer.Pacer
 	// roundTrip is the smoothed time of a start.
 	roundTrip time.Duration
 }
@@ -137,17 +139,21 @@
 // BeginLife forgets what is of a former life only.
 func (w *Worker) BeginLife(incarnation int64) {
 	w.Incarnation, w.HeardClock = incarnation, 0
-	w.Ends, w.Trust = acknowledger.Ends{}, truster.Trust{}
+	w.Ends, w.Trust, w.Pacer = acknowledger.Ends{}, truster.Trust{}, pacer.Pacer{}
 }
 
 // Has reports whether a worker has a run of a kind.
-func (w *Worker) Has(isKind func(*tasker.Run) bool) bool {
+func (w *Worker) Has(isKind func(*tasker.Run) bool) bool { return w.Count(isKind) > 0 }
+
+// Count returns how many runs of a kind a worker has.
+func (w *Worker) Count(isKind func(*tasker.Run) bool) int {
+	count := 0
 	for _, r := range w.Runs {
 		if isKind(r) {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // Measure takes in the time that a start took.
--- a/internal/fleet/saver/saver.go
+++ b/internal/fleet/saver/saver.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/minder"
 	"lentilrock.example/internal/fleet/tasker"
@@ -30,6 +31,8 @@
 	taken       int64
 	saved       int64
 	isRosterOld bool
+	// forgotten are the jobs whose progress is to be removed.
+	forgotten []describer.JobID
 }
 
 // Changed notes that a job's progress must be kept.
@@ -43,8 +46,13 @@
 // RosterChanged notes that the roster must be kept again.
 func (s *Saver) RosterChanged() { s.isRosterOld = true }
 
+// Forget has the progress of jobs removed that are gone otherwise.
+func (s *Saver) Forget(ids []describer.JobID) { s.forgotten = append(s.forgotten, ids...) }
+
 // HasProgress reports whether there is something to keep.
-func (s *Saver) HasProgress() bool { return len(s.changed) > 0 || s.isRosterOld }
+func (s *Saver) HasProgress() bool {
+	return len(s.changed) > 0 || s.isRosterOld || len(s.forgotten) > 0
+}
 
 // Batch returns the batch by which all changes so far are kept.
 func (s *Saver) Batch() int64 {
@@ -87,6 +95,10 @@
 		j.Batch = s.taken
 		records = append(records, record)
 	}
+	for _, id := range s.forgotten {
+		records = append(records, journaler.ForgetProgress(id))
+	}
+	s.forgotten = nil
 	if s.isRosterOld {
 		record, err := s.roster(epoch, workers)
 		if err != nil {
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -60,6 +60,8 @@
 	Rank   ranker.Rank
 	// checkpoint is the newest of any member of a gang.
 	checkpoint string
+	// typical is how long runs that ended as done took, smoothed; 0 before the first.
+	typical time.Duration
 	// gangFailures are the runs of the gang that failed.
 	gangFailures map[int64]bool
 }
@@ -96,6 +98,13 @@
 	SentAt time.Time
 	// AnsweredAt is when the worker said that the run is there; zero while that is open.
 	AnsweredAt time.Time
+	// Usage is the last reading of the run: see orderer.Running.
+	Usage int64
+	// Percent is the share of its speed at which the run works, as far as the worker has said
+	// so; PaceSent is the one that was ordered last.
+	Percent    int
+	PaceSent   int
+	PaceSentAt time.Time
 	Stopping   bool
 	StopSentAt time.Time
 	// StopAckedAt is when the worker took the stop; the next look tells whether it is gone.
@@ -327,3 +336,17 @@
 	slices.SortFunc(steps, func(a, b *Step) int { return a.Rank.Compare(b.Rank) })
 	return steps
 }
+
+// Speculative returns the steps under way that allow copies, in the order of their ranks.
+func Speculative(jobs map[describer.JobID]*Job, now time.Time) []*Step {
+	var steps []*Step
+	for _, j := range jobs {
+		for _, s := range j.Steps {
+			if s.Spec.Speculative && !s.Spec.Gang && s.IsReady(now) {
+				steps = append(steps, s)
+			}
+		}
+	}
+	slices.SortFunc(steps, func(a, b *Step) int { return a.Rank.Compare(b.Rank) })
+	return steps
+}
--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -26,8 +26,9 @@
 // run is a run at a worker.
 type run struct {
 	orderer.Running
-	endsAt time.Time
-	fails  bool
+	endsAt  time.Time
+	fails   bool
+	percent int
 }
 
 // Worker is a worker that keeps a fencing token.
@@ -39,6 +40,8 @@
 	LosesAnswers bool
 	// Fails makes every run end as failed.
 	Fails bool
+	// Slowness multiplies how long runs take; 0 means 1.
+	Slowness int
 	// LosesStops drops stops without an answer.
 	LosesStops bool
 	// IsReplaced answers that another worker has the address.
@@ -77,6 +80,11 @@
 	// overfull are workers that had more than their capacity.
 	overfull []string
 	needs    func(ref describer.TaskRef) describer.Resources
+	// MayCopy reports whether a task may run twice at a time; nil means that none may.
+	MayCopy func(ref describer.TaskRef) bool
+	// Usage returns the reading of a task beside others that work at percents which add up to
+	// a sum; nil means 0.
+	Usage func(ref describer.TaskRef, beside int) int64
 }
 
 // NewFleet returns a fleet without workers. Work says how long a task runs, needs what it
@@ -237,7 +245,7 @@
 	f.check(w, name, s.Task)
 	w.runs[name] = &run{
 		Running: orderer.Running{Task: s.Task, Run: s.Run, Checkpoint: s.Checkpoint},
-		endsAt:  f.clock.Now().Add(f.work(s.Task)), fails: w.Fails,
+		endsAt:  f.clock.Now().Add(time.Duration(max(w.Slowness, 1)) * f.work(s.Task)), fails: w.Fails, percent: 100,
 	}
 	f.starts[name]++
 	return w.answer()
@@ -252,6 +260,9 @@
 	if !used.Fits(w.Info.Capacity) {
 		f.overfull = append(f.overfull, w.Info.ID)
 	}
+	if f.MayCopy != nil && f.MayCopy(ref) {
+		return
+	}
 	for _, other := range f.workers {
 		f.settle(other)
 		if _, isThere := other.runs[name]; isThere || f.noted[name] {
@@ -280,12 +291,42 @@
 	return w.answer()
 }
 
-// Pace takes a pace without effect.
+// Pace has a run work at a share of its speed, which only the readings of others show.
 func (f *Fleet) Pace(_ context.Context, p orderer.Pace) orderer.Verdict {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, verdict := f.reach(p.Worker.ID, p.Token)
-	return verdict
+	w, verdict := f.reach(p.Worker.ID, p.Token)
+	if verdict != orderer.Accepted {
+		return verdict
+	}
+	if r, isThere := w.runs[p.Task.String()]; isThere && r.Run == p.Run {
+		r.percent = p.Percent
+	}
+	return w.answer()
+}
+
+// Percent returns the share at which a task works on a worker; -1 where it does not run.
+func (f *Fleet) Percent(id, task string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, isThere := f.workers[id].runs[task]; isThere {
+		return r.percent
+	}
+	return -1
+}
+
+// usage returns the reading of a run.
+func (f *Fleet) usage(w *Worker, r *run) int64 {
+	if f.Usage == nil {
+		return 0
+	}
+	beside := 0
+	for _, other := range w.runs {
+		if other != r {
+			beside += other.percent
+		}
+	}
+	return f.Usage(r.Task, beside)
 }
 
 // lookStep is how often a look that waits sees whether something ended.
@@ -326,7 +367,9 @@
 	})
 	inventory := orderer.Inventory{Incarnation: w.Info.Incarnation, Clock: f.clockOf(w), Ended: slices.Clone(w.ends)}
 	for _, r := range w.runs {
-		inventory.Running = append(inventory.Running, r.Running)
+		running := r.Running
+		running.Usage = f.usage(w, r)
+		inventory.Running = append(inventory.Running, running)
 	}
 	return inventory, w.answer()
 }
