Split the dispatcher: what it holds, runs, workers, placement and pacing are packages of their own

Nothing changes in what it decides: the state under a claim is registrar, on which settler (runs), watcher (workers), placer and governor (pacing) work; dispatcher puts them together. All tests of the dispatcher pass unchanged; the mutants follow the code to its new files, four are new and turn red.

--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -19,131 +19,74 @@
 package dispatcher
 
 import (
-	"cmp"
 	"slices"
+	"strings"
 	"time"
 
-	"lentilrock.example/internal/fleet/chooser"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/forgetter"
+	"lentilrock.example/internal/fleet/governor"
 	"lentilrock.example/internal/fleet/journaler"
-	"lentilrock.example/internal/fleet/minder"
-	"lentilrock.example/internal/fleet/questioner"
-	"lentilrock.example/internal/fleet/saver"
+	"lentilrock.example/internal/fleet/orderer"
+	"lentilrock.example/internal/fleet/placer"
+	"lentilrock.example/internal/fleet/registrar"
+	"lentilrock.example/internal/fleet/settler"
 	"lentilrock.example/internal/fleet/tasker"
+	"lentilrock.example/internal/fleet/watcher"
 )
 
-// Defaults of the options.
 const (
-	// defaultLease outlives the detection of a dead holder and a takeover.
-	defaultLease = 3500 * time.Millisecond
-	// defaultLookWait renews each lease several times before it ends.
-	defaultLookWait = 700 * time.Millisecond
-	// defaultHoldMax is the longest lease that a worker grants.
-	defaultHoldMax = 6 * time.Second
-	// renewalSlack is how long a former holder may go on renewing until a worker refuses it.
-	renewalSlack = 2 * time.Second
-	// silentAfter is when the runs at a worker that does not answer are kept.
-	silentAfter = 800 * time.Millisecond
-	// retryPause is the pause before an order without an answer is sent again.
-	retryPause = 300 * time.Millisecond
-	// refusedPause is the pause before a task is placed again that a worker refused.
-	refusedPause = 50 * time.Millisecond
-	// defaultHistory is how long ended jobs are told of: what callers are promised, and time
-	// for submissions that were sent again and are under way.
-	defaultHistory = 3 * time.Minute
+	// formerHolderTime is how long a former holder may act until it learns of its end.
+	formerHolderTime = 2 * time.Second
 	// maxForgotten bounds the jobs that are forgotten at a time.
 	maxForgotten = 200
-	// unknownGrace is how long a run of a job that is not known is left alone.
-	unknownGrace = 2 * time.Second
 )
 
 // Options are the settings of a dispatcher.
-type Options struct {
-	// Epoch is that of the claim, and the fencing token of all orders.
-	Epoch    int64
-	Lease    time.Duration
-	LookWait time.Duration
-	HoldMax  time.Duration
-	// History is how long ended jobs are told of.
-	History time.Duration
-	// RemoteFactor is how much slower a task is away from its data.
-	RemoteFactor float64
-	// Report takes a line for the log: a message and pairs of key and value.
-	Report func(message string, fields ...any)
-}
+type Options = registrar.Options
 
 // Order is one of the orders of package orderer.
-type Order any
+type Order = registrar.Order
 
 // Dispatcher decides for a cell under one claim.
 type Dispatcher struct {
-	options   Options
-	now       time.Time
-	claimedAt time.Time
-	// state is the fold of the log, which knows of jobs that have ended too.
-	state *journaler.State
-
-	queues  map[string]describer.Queue
-	workers map[string]*minder.Worker
-	// ordered are the workers by name.
-	ordered []*minder.Worker
-	jobs    map[describer.JobID]*tasker.Job
-	chooser chooser.Chooser
-
-	saver     saver.Saver
-	questions questioner.Questioner
+	registrar *registrar.Registrar
+	settler   *settler.Settler
+	governor  *governor.Governor
+	watcher   *watcher.Watcher
+	placer    *placer.Placer
 	forgetter forgetter.Forgetter
-	orders    []Order
-	isFenced  bool
 }
 
 // New returns a dispatcher that takes over the jobs of a state.
 func New(options Options, state *journaler.State, now time.Time) *Dispatcher {
-	options.Lease = cmp.Or(options.Lease, defaultLease)
-	options.LookWait = cmp.Or(options.LookWait, defaultLookWait)
-	options.HoldMax = cmp.Or(options.HoldMax, defaultHoldMax)
-	options.History = cmp.Or(options.History, defaultHistory)
-	options.Lease = min(options.Lease, options.HoldMax)
-	options.RemoteFactor = max(options.RemoteFactor, 1)
-	if options.Report == nil {
-		options.Report = func(string, ...any) {}
-	}
-	d := &Dispatcher{
-		options: options, now: now, claimedAt: now, state: state,
-		queues: make(map[string]describer.Queue), workers: make(map[string]*minder.Worker),
-		jobs: make(map[describer.JobID]*tasker.Job), chooser: chooser.Chooser{RemoteFactor: options.RemoteFactor},
-	}
-	ids := make([]describer.JobID, 0, len(state.Jobs))
-	for id := range state.Jobs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		d.JobChanged(now, state.Jobs[id])
-	}
-	for _, member := range state.Roster.Members {
-		w := d.addWorker(describer.Worker{ID: member.ID, Address: member.Address})
-		w.IsSilent, w.IsEnrolled = member.IsSilent, !member.IsSilent
-	}
-	for _, id := range ids {
-		d.adoptSilent(state.Jobs[id])
-	}
+	r := registrar.New(options, state, now)
+	s, g := settler.New(r), governor.New(r)
+	d := &Dispatcher{registrar: r, settler: s, governor: g, watcher: watcher.New(r, s, g), placer: placer.New(r, s)}
+	entries := make([]*journaler.Entry, 0, len(state.Jobs))
+	for _, entry := range state.Jobs {
+		entries = append(entries, entry)
+	}
+	slices.SortFunc(entries, func(a, b *journaler.Entry) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for _, entry := range entries {
+		d.JobChanged(now, entry)
+	}
+	d.watcher.Suspect(state.Roster, entries)
 	return d
 }
 
 // IsFenced reports that a worker has obeyed a later holder.
-func (d *Dispatcher) IsFenced() bool { return d.isFenced }
+func (d *Dispatcher) IsFenced() bool { return d.registrar.IsFenced }
 
 // SetConfig takes in a configuration. Jobs of queues that are no longer listed keep their
 // terms.
 func (d *Dispatcher) SetConfig(config describer.Config) {
-	clear(d.queues)
+	clear(d.registrar.Queues)
 	for _, q := range config.Queues {
-		d.queues[q.Name] = q
+		d.registrar.Queues[q.Name] = q
 	}
-	for _, j := range d.jobs {
-		if q, found := d.queues[j.Queue.Name]; found {
+	for _, j := range d.registrar.Jobs {
+		if q, found := d.registrar.Queues[j.Queue.Name]; found {
 			j.Queue = q
 		}
 	}
@@ -151,11 +94,12 @@
 
 // JobChanged takes in a job that was accepted or cancelled.
 func (d *Dispatcher) JobChanged(now time.Time, entry *journaler.Entry) {
-	d.now = now
+	r := d.registrar
+	r.Now = now
 	if entry == nil || entry.Job == nil {
 		return
 	}
-	j, found := d.jobs[entry.ID]
+	j, found := r.Jobs[entry.ID]
 	if !found && (entry.Cancelled || entry.Progress.Outcome != journaler.OutcomeNone) {
 		d.forgetter.Ended(entry.ID, now)
 		return
@@ -164,81 +108,113 @@
 		return
 	}
 	if !found {
-		j = tasker.NewJob(entry)
-		if q, listed := d.queues[j.Queue.Name]; listed {
-			j.Queue = q
-		}
-		// A former holder that does not know of the claim yet could have started it too.
-		j.MayRunElsewhere = now.Sub(d.claimedAt) < renewalSlack
-		d.jobs[entry.ID] = j
+		j = d.addJob(entry)
 	}
 	if entry.Cancelled && !j.Cancelled {
 		j.Cancelled = true
-		d.endJob(j)
+		d.settler.StopAll(j)
 	}
 }
 
-// endJob stops what a job runs. The job is forgotten once nothing of it runs.
-func (d *Dispatcher) endJob(j *tasker.Job) {
-	for r := range j.Runs {
-		d.stop(r)
+func (d *Dispatcher) addJob(entry *journaler.Entry) *tasker.Job {
+	r := d.registrar
+	j := tasker.NewJob(entry)
+	if q, listed := r.Queues[j.Queue.Name]; listed {
+		j.Queue = q
 	}
+	// A former holder that does not know of the claim yet could have started it too.
+	j.MayRunElsewhere = r.Now.Sub(r.ClaimedAt) < formerHolderTime
+	r.Jobs[entry.ID] = j
+	return j
 }
 
 // Tick does what is due: settles silent workers, repeats orders and places tasks.
 func (d *Dispatcher) Tick(now time.Time) {
-	d.now = now
-	for _, w := range d.ordered {
-		d.tickWorker(w)
-	}
-	d.forgetWorkers()
-	d.place()
+	d.registrar.Now = now
+	d.watcher.Tick()
+	d.placer.Place()
 	d.forgetJobs()
 }
 
 // TakeOrders returns the orders since the last call.
-func (d *Dispatcher) TakeOrders() []Order {
-	orders := d.orders
-	d.orders = nil
-	return orders
+func (d *Dispatcher) TakeOrders() []Order { return d.registrar.TakeOrders() }
+
+// SetWorkers takes in the host list.
+func (d *Dispatcher) SetWorkers(now time.Time, listed []describer.Worker) {
+	d.watcher.SetWorkers(now, listed)
+}
+
+// WorkerIDs returns the workers to look after, in order.
+func (d *Dispatcher) WorkerIDs() []string { return d.watcher.WorkerIDs() }
+
+// NextLook returns the next look at a worker; false means that the worker is gone.
+func (d *Dispatcher) NextLook(now time.Time, id string) (orderer.Look, bool) {
+	return d.watcher.NextLook(now, id)
+}
+
+// Looked takes in the answer to a look.
+func (d *Dispatcher) Looked(now time.Time, look orderer.Look, inventory orderer.Inventory, verdict orderer.Verdict) {
+	d.watcher.Looked(now, look, inventory, verdict)
+}
+
+// StartAnswered takes in what became of a start.
+func (d *Dispatcher) StartAnswered(now time.Time, start orderer.Start, verdict orderer.Verdict) {
+	d.settler.StartAnswered(now, start, verdict)
 }
 
-// order adds an order to what goes out.
-func (d *Dispatcher) order(o Order) { d.orders = append(d.orders, o) }
+// StopAnswered takes in what became of a stop.
+func (d *Dispatcher) StopAnswered(now time.Time, stop orderer.Stop, verdict orderer.Verdict) {
+	d.settler.StopAnswered(now, stop, verdict)
+}
+
+// PaceAnswered takes in what became of an order to pace.
+func (d *Dispatcher) PaceAnswered(now time.Time, pace orderer.Pace, verdict orderer.Verdict) {
+	d.governor.PaceAnswered(now, pace, verdict)
+}
+
+// SetAskers says how many hosts can ask for advice side by side.
+func (d *Dispatcher) SetAskers(count int) { d.placer.SetAskers(count) }
+
+// Advised takes in the answer to a question; isAnswered is false where there was none.
+func (d *Dispatcher) Advised(now time.Time, asked orderer.Advise, answer orderer.Advice, isAnswered bool) {
+	d.placer.Advised(now, asked, answer, isAnswered)
+}
 
 // HasProgress reports whether there is something to keep.
-func (d *Dispatcher) HasProgress() bool { return d.saver.HasProgress() }
+func (d *Dispatcher) HasProgress() bool { return d.registrar.Saver.HasProgress() }
 
 // TakeProgress returns the records that must be kept, with the number of their batch.
 func (d *Dispatcher) TakeProgress() ([]journaler.Record, int64) {
-	records, batch, err := d.saver.Take(d.options.Epoch, d.ordered)
+	r := d.registrar
+	records, batch, err := r.Saver.Take(r.Options.Epoch, r.Ordered)
 	if err != nil {
-		d.options.Report("Progress can't be encoded.", "error", err.Error())
+		r.Report("Progress can't be encoded.", "error", err.Error())
 	}
 	return records, batch
 }
 
 // Saved reports that the batches up to one are kept, so their ends may be forgotten.
-func (d *Dispatcher) Saved(batch int64) { d.saver.Saved(batch, d.ordered) }
+func (d *Dispatcher) Saved(batch int64) { d.registrar.Saver.Saved(batch, d.registrar.Ordered) }
 
 // forgetJobs drops the jobs of which nothing runs and whose end is kept. Before that, an
 // older record of a job that is read back would begin it anew.
 func (d *Dispatcher) forgetJobs() {
-	for id, j := range d.jobs {
-		if j.IsOver() && len(j.Runs) == 0 && d.saver.IsKept(j) {
-			delete(d.jobs, id)
-			d.forgetter.Ended(id, d.now)
+	r := d.registrar
+	for id, j := range r.Jobs {
+		if j.IsOver() && len(j.Runs) == 0 && r.Saver.IsKept(j) {
+			delete(r.Jobs, id)
+			d.forgetter.Ended(id, r.Now)
 		}
 	}
 }
 
 // Forgettable returns jobs that ended so long ago that their records may be removed.
 func (d *Dispatcher) Forgettable(now time.Time) []describer.JobID {
-	return d.forgetter.Due(now, d.options.History, maxForgotten)
+	return d.forgetter.Due(now, d.registrar.Options.History, maxForgotten)
 }
 
 // Forgotten takes in that the submissions of the jobs that Forgettable returned are removed.
 func (d *Dispatcher) Forgotten(ids []describer.JobID) {
 	d.forgetter.Forgotten(ids)
-	d.saver.Forget(ids)
+	d.registrar.Saver.Forget(ids)
 }
--- /dev/null
+++ b/internal/fleet/placer/copy.go
@@ -0,0 +1,43 @@
+package placer
+
+import (
+	"time"
+
+	"lentilrock.example/internal/fleet/chooser"
+	"lentilrock.example/internal/fleet/tasker"
+)
+
+const (
+	// maxCopies bounds the runs of a task side by side.
+	maxCopies = 2
+	// silentAfter is when a worker that does not answer is worth a copy elsewhere.
+	silentAfter = 800 * time.Millisecond
+)
+
+// placeCopies starts copies of slow tasks, and of tasks at workers that do not answer, where
+// the step allows them and room is left over.
+func (p *Placer) placeCopies() {
+	for _, s := range tasker.Speculative(p.Jobs, p.Now) {
+		for _, t := range s.Tasks {
+			if !p.deservesCopy(t) {
+				continue
+			}
+			w, ticket := p.chooser.Best(t, p.Ordered, chooser.Plan{}, p.Now)
+			if w == nil {
+				break
+			}
+			p.Report("A copy of a task starts.", "task", t.Ref().String(), "slow", t.Run.Worker, "worker", w.Info.ID)
+			p.start(t, w, ticket, t.NextRun(p.Options.Epoch))
+		}
+	}
+}
+
+// deservesCopy reports whether a second run of a task is likely to end before the first.
+func (p *Placer) deservesCopy(t *tasker.Task) bool {
+	if t.Done || t.Run == nil || t.Copies() >= maxCopies {
+		return false
+	}
+	w, found := p.Workers[t.Run.Worker]
+	isSilent := found && w.IsFailing && p.Now.Sub(w.AnsweredAt) > silentAfter
+	return isSilent || t.IsSlow(p.Now)
+}
--- a/internal/fleet/dispatcher/reserve.go
+++ b/internal/fleet/placer/reserve.go
@@ -1,4 +1,4 @@
-package dispatcher
+package placer
 
 import (
 	"time"
@@ -13,22 +13,22 @@
 
 // reserve keeps room for a lasting task that finds no place: other tasks would take what
 // becomes free before its advice is there. Batch work that is in the way makes room.
-func (d *Dispatcher) reserve(t *tasker.Task) {
+func (p *Placer) reserve(t *tasker.Task) {
 	s := t.Step
 	if t.FreeSince.IsZero() {
-		t.FreeSince = d.now
+		t.FreeSince = p.Now
 		return
 	}
-	if chooser.HasReservation(s, d.ordered, d.now) {
+	if chooser.HasReservation(s, p.Ordered, p.Now) {
 		return
 	}
-	w, victims := chooser.MakeRoom(s, d.ordered, d.now.Sub(t.FreeSince), d.now)
+	w, victims := chooser.MakeRoom(s, p.Ordered, p.Now.Sub(t.FreeSince), p.Now)
 	if w == nil {
 		return
 	}
-	w.Reserved = minder.Reservation{Step: s, Charge: s.Spec.Charge(), Until: d.now.Add(reserveFor)}
+	w.Reserved = minder.Reservation{Step: s, Charge: s.Spec.Charge(), Until: p.Now.Add(reserveFor)}
 	for _, r := range victims {
-		d.options.Report("A run makes room.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID, "for", s.Ref().String())
-		d.stop(r)
+		p.Report("A run makes room.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID, "for", s.Ref().String())
+		p.settler.Stop(r)
 	}
 }
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -22,6 +22,13 @@
 	"lentilrock.example/internal/fleet/ranker"
 )
 
+const (
+	// FullPercent is the share of its speed at which a run begins.
+	FullPercent = 100
+	// UnknownPercent is that of a run which a former holder may have paced.
+	UnknownPercent = -1
+)
+
 // RunsPerEpoch separates the numbers of runs of successive holders.
 const RunsPerEpoch = 256
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -58,18 +58,18 @@
   'if next.Next <= s.Next {' 'if false {' internal/cell/applier 'TestSnapshot'
 core=internal/fleet/dispatcher
 mutant "fence: a job is forgotten only once its end is kept" $core/dispatcher.go \
-  ' && d.saver.IsKept(j)' '' $core 'TestJobs/a_job_whose_end'
-mutant "fence: a silent worker is promised nothing" $core/worker.go \
+  ' && r.Saver.IsKept(j)' '' $core 'TestJobs/a_job_whose_end'
+mutant "fence: a silent worker is promised nothing" internal/fleet/settler/order.go \
   'if w.IsSynced && !w.IsFailing {' 'if w.IsSynced {' $core 'TestWorkers/the_runs_of_a_dead'
-mutant "fence: a replaced worker runs nothing" $core/worker.go \
-  'd.workerReplaced(w)' 'w.IsFailing = true' $core 'TestWorkers/the_runs_of_a_replaced'
+mutant "fence: a replaced worker runs nothing" internal/fleet/watcher/look.go \
+  'h.workerReplaced(w)' 'w.IsFailing = true' $core 'TestWorkers/the_runs_of_a_replaced'
 mutant "fence: the entry and the life must agree" internal/fleet/minder/minder.go \
   'isOneLife := w.Info.Incarnation == 0 ||' 'isOneLife := true ||' $core 'TestWorkers/a_new_life'
-mutant "fence: a new holder asks all of the roster" $core/dispatcher.go \
-  'range state.Roster.Members' 'range []journaler.Member{}' $core 'TestTakeover/a_worker_that_the_list'
-mutant "fence: what is left of ended jobs takes room" $core/run.go \
-  'return d.state.Jobs[ref.Job].Job.Steps[ref.Step].Charge()' 'return describer.Resources{}' $core 'TestTakeover/what_is_left'
-mutant "fence: overtaken answers are ignored" $core/worker.go \
+mutant "fence: a new holder asks all of the roster" internal/fleet/watcher/watcher.go \
+  'range roster.Members' 'range []journaler.Member{}' $core 'TestTakeover/a_worker_that_the_list'
+mutant "fence: what is left of ended jobs takes room" internal/fleet/settler/settler.go \
+  'return s.State.Jobs[ref.Job].Job.Steps[ref.Step].Charge()' 'return describer.Resources{}' $core 'TestTakeover/what_is_left'
+mutant "fence: overtaken answers are ignored" internal/fleet/watcher/look.go \
   'inventory.Clock < w.HeardClock' 'false' $core 'TestWorkers/an_answer'
 mutant "fence: ends are acknowledged once kept" internal/fleet/saver/saver.go \
   'return s.taken + 1' 'return 0' $core 'TestTakeover/an_end_is'
@@ -79,13 +79,21 @@
   'return !w.IsSynced && !w.IsSilent && !w.Lease.HasLapsed(now)' 'return false' $core 'TestTakeover/tasks_that_may'
 mutant "fence: the runs at a silent worker are kept" internal/fleet/tasker/progress.go \
   't.Run != nil && isSilent(t.Run.Worker)' 'false' $core 'TestTakeover/a_successor'
-mutant "fence: lost orders are settled before a second start" $core/run.go \
+mutant "fence: lost orders are settled before a second start" internal/fleet/settler/order.go \
   '			w.IsDoubted = true
-			d.stop(r)' '			d.settle(r)' $core 'TestWorkers/a_start_without'
+			s.Stop(r)' '			s.Settle(r)' $core 'TestWorkers/a_start_without'
 mutant "fence: no start before the roster is kept" internal/fleet/minder/minder.go \
   'w.IsListed && w.IsEnrolled &&' 'w.IsListed &&' $core 'TestWorkers/a_worker_gets'
-mutant "fence: room is kept for lasting tasks" $core/place.go \
+mutant "fence: room is kept for lasting tasks" internal/fleet/placer/placer.go \
   'if s.Spec.LongRunning {' 'if false {' $core 'TestAdvice/room_is_made'
+mutant "fence: a former holder is suspected" internal/fleet/dispatcher/dispatcher.go \
+  'j.MayRunElsewhere = r.Now.Sub' 'j.MayRunElsewhere = false && r.Now.Sub' $core 'TestTakeover/tasks_that_may'
+mutant "sharing: copies are for steps that allow them" internal/fleet/tasker/tasker.go \
+  's.Spec.Speculative && !s.Spec.Gang' '!s.Spec.Gang' $core 'TestCopies/a_task_that_allows'
+mutant "sharing: a breach stops what fills" internal/fleet/pacer/pacer.go \
+  'case worst >= breach:' 'case false:' internal/fleet/pacer 'TestNext'
+mutant "sharing: a later holder gives the share back" internal/fleet/settler/settler.go \
+  'Percent: tasker.UnknownPercent' 'Percent: tasker.FullPercent' $core 'TestPacing/a_later'
 mutant "fence: a release does not hide a later claim" internal/fleet/journaler/journaler.go \
   'claim.Epoch <= s.Claim.Epoch && !isRelease' 'isRelease && false' internal/fleet/journaler 'TestClaims'
 echo "mutants: $survived survived"
