Take machines down for upkeep waves, and report how far a wave is

Package evacuator chooses the machines that leave next (those by which least is lost), keeps new work away from them, lets what runs there end as long as the wave's time allows, stops what takes longer (so that checkpoints are kept) and orders the upkeep under the claim's fencing token.

Red at first: TestUpkeep "a lasting step misses no more than it may" with four machines at a time: the tasks on a machine whose order is under way were not counted as away. They are now.

Not built: moves of machines between pools and standby pools (no queue of the sites needs them; duties are empty there).

--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -45,6 +45,10 @@
 	lookSlack = 600 * time.Millisecond
 	// forgetEvery is how often the records of jobs that ended long ago are removed.
 	forgetEvery = 5 * time.Second
+	// machinesEvery is how often the machines are listed while a wave of upkeep is open.
+	machinesEvery = time.Second
+	// dutyTimeout bounds an order about a machine, or a list of all.
+	dutyTimeout = 2 * time.Second
 	// orderTimeout bounds an order to a worker.
 	orderTimeout = 500 * time.Millisecond
 )
@@ -57,13 +61,23 @@
 	Stop(ctx context.Context, stop orderer.Stop) orderer.Verdict
 }
 
+// Machines lists the platform's machines and carries orders about them.
+type Machines interface {
+	List(ctx context.Context) ([]describer.Machine, error)
+	// ReportWave tells operators how far a wave is.
+	ReportWave(ctx context.Context, report orderer.WaveReport) error
+	Upkeep(ctx context.Context, order orderer.Upkeep) orderer.DutyVerdict
+}
+
 // Options are what a holder is made from.
 type Options struct {
 	Epoch   int64
 	Store   storer.Store
 	Workers Workers
-	Clock   clockwork.Clock
-	Logger  *zap.Logger
+	// Machines may be nil where the platform has none to look after.
+	Machines Machines
+	Clock    clockwork.Clock
+	Logger   *zap.Logger
 	// With runs a change of the dispatcher under the host's lock; it reports false, and runs
 	// nothing, once the claim is over.
 	With func(h *Holder, change func(now time.Time, d *dispatcher.Dispatcher)) bool
@@ -104,6 +118,9 @@
 	go h.loop(ctx)
 	go h.save(ctx)
 	go h.forget(ctx)
+	if h.options.Machines != nil {
+		go h.listMachines(ctx)
+	}
 	h.Kick()
 }
 
@@ -214,6 +231,9 @@
 	case orderer.Advise:
 		h.advise(ctx, o)
 		return
+	case orderer.Upkeep, orderer.WaveReport:
+		h.carryOutDuty(ctx, o)
+		return
 	case orderer.Look:
 		inventory, verdict := workers.Look(ordering, o)
 		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.Looked(now, o, inventory, verdict) })
--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -25,8 +25,6 @@
 	firstClaimAfter = 300 * time.Millisecond
 	// yieldEvery is how often a small holder looks for a larger host.
 	yieldEvery = 3 * time.Second
-	// announceEvery is how often a host shows its peers that it is still there.
-	announceEvery = 20 * time.Second
 	// refusedReadPause separates reads of a new holder that fail.
 	refusedReadPause = 50 * time.Millisecond
 )
@@ -51,16 +49,22 @@
 	if k.leaving || k.holder != nil || !k.knowsCell() || k.listedAt.IsZero() {
 		return 0, ""
 	}
-	if isNew := k.state.Claim.Epoch == 0; isNew && (k.announcedAt.IsZero() || now.Sub(k.announcedAt) < firstClaimAfter) {
+	if isNew := k.state.Claim.Epoch == 0; isNew && !k.isAnnounced(now) {
 		return 0, ""
 	}
 	return elector.Decide(elector.View{
 		Self: k.options.Name, Incarnation: k.options.Incarnation, Claim: k.state.Claim,
-		ReadAt: k.claimsAt, FailedAt: k.failedAt, BeatAt: k.beatAt, StoreDelay: k.storeDelay, IsSmall: k.isSmall(),
+		ReadAt: k.claimsAt, FailedAt: k.failedAt, BeatAt: k.beatAt, StoreDelay: k.announcer.StoreDelay(), IsSmall: k.isSmall(),
 		TriedEpoch: k.triedEpoch, TriedAt: k.triedAt,
 	}, now)
 }
 
+// isAnnounced reports whether this host was announced, and could read of the others since.
+func (k *Keeper) isAnnounced(now time.Time) bool {
+	at := k.announcer.AnnouncedAt()
+	return !at.IsZero() && now.Sub(at) >= firstClaimAfter
+}
+
 // isSmall reports whether a considerably larger host is known; the caller has the lock.
 func (k *Keeper) isSmall() bool { return yielder.IsSmall(k.options.Cores, k.liveHosts()) }
 
@@ -139,36 +143,3 @@
 		}
 	}
 }
-
-// announce tells the peers where this host is, again and again.
-func (k *Keeper) announce(ctx context.Context) {
-	record, err := journaler.NewHost(journaler.Host{
-		Name: k.options.Name, Incarnation: k.options.Incarnation,
-		Address: k.options.PeerAddress.String(), DataCentre: k.options.DataCentre, Cores: k.options.Cores,
-	})
-	if err != nil {
-		k.options.Logger.Error("host: Can't be announced.", zap.String("error", err.Error()))
-		return
-	}
-	for ctx.Err() == nil {
-		began := k.now()
-		appending, cancel := context.WithTimeout(ctx, claimTimeout)
-		_, err := k.options.Store.Append(appending, storer.Append{Topic: storer.Jobs, Records: []journaler.Record{record}})
-		cancel()
-		if err == nil {
-			k.mu.Lock()
-			now := k.now()
-			k.storeDelay = now.Sub(began)
-			if k.announcedAt.IsZero() {
-				k.announcedAt = now
-			}
-			k.mu.Unlock()
-			pauser.Pause(ctx, k.options.Clock, announceEvery)
-			continue
-		}
-		if !errors.Is(err, storer.ErrRefused) {
-			k.options.Logger.Warn("host: Was not announced.", zap.String("error", err.Error()))
-		}
-		pauser.Pause(ctx, k.options.Clock, claimPause)
-	}
-}
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/follower"
@@ -66,7 +67,7 @@
 	k.jobsAt = k.now()
 	for _, e := range entries {
 		if name, found := journaler.HostOf(e.Record); found {
-			k.heardHosts[name] = k.jobsAt
+			k.announcer.Heard(name, k.jobsAt)
 		}
 		k.applyRecord(k.jobsAt, e)
 		k.nextJob = max(k.nextJob, e.Offset+1)
@@ -107,23 +108,43 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, e := range entries {
-		config, found, err := k.options.Decoder.Config(e.Key, e.Value)
-		if err != nil {
+		if err := errors.Join(k.applyConfig(e), k.applyWave(e)); err != nil {
 			k.options.Logger.Warn("config: An entry was ignored.", zap.String("key", e.Key), zap.String("error", err.Error()))
-			continue
-		}
-		if !found || config.Version <= k.config.Version {
-			continue
-		}
-		k.config = config
-		k.options.Logger.Info("config: In force.", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)))
-		if k.holder != nil {
-			k.dispatcher.SetConfig(config)
-			k.holder.Kick()
 		}
 	}
 }
 
+// applyConfig takes in a later configuration; the caller has the lock.
+func (k *Keeper) applyConfig(e storer.Entry) error {
+	config, found, err := k.options.Decoder.Config(e.Key, e.Value)
+	if err != nil || !found || config.Version <= k.config.Version {
+		return err
+	}
+	k.config = config
+	k.options.Logger.Info("config: In force.", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)))
+	if k.holder != nil {
+		k.dispatcher.SetConfig(config)
+		k.holder.Kick()
+	}
+	return nil
+}
+
+// applyWave takes in a wave of upkeep; the caller has the lock.
+func (k *Keeper) applyWave(e storer.Entry) error {
+	wave, found, err := k.options.Decoder.Wave(e.Key, e.Value)
+	if _, isKnown := k.waves[wave.Number]; err != nil || !found || isKnown {
+		return err
+	}
+	k.waves[wave.Number] = wave
+	k.options.Logger.Info("upkeep: A wave was asked for.", zap.Int64("wave", wave.Number), zap.Int("machines", len(wave.Machines)),
+		zap.Duration("duration", wave.Duration), zap.Int("max_down", wave.MaxDown))
+	if k.holder != nil {
+		k.dispatcher.SetWave(k.now(), wave)
+		k.holder.Kick()
+	}
+	return nil
+}
+
 func (k *Keeper) resetWorkers(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,21 +11,20 @@
 	"lentilrock.example/internal/fleet/journaler"
 )
 
-// hostSilence is when an entry host counts as gone that was not heard of: three
-// announcements, and an outage of the store in between.
-const hostSilence = 3*announceEvery + 15*time.Second
-
 // hold takes the cell up under a claim.
 func (k *Keeper) hold(now time.Time, claim journaler.Claim) {
 	options := k.options.Dispatch
-	options.Epoch = claim.Epoch
+	options.Epoch, options.Host = claim.Epoch, k.options.Name
 	options.Report = k.report
 	k.dispatcher = dispatcher.New(options, k.state, now)
 	k.dispatcher.SetConfig(k.config)
 	k.dispatcher.SetAskers(len(k.liveHosts()))
 	k.dispatcher.SetWorkers(now, k.workerList())
+	for _, wave := range k.waves {
+		k.dispatcher.SetWave(now, wave)
+	}
 	k.holder = holder.New(holder.Options{
-		Epoch: claim.Epoch, Store: k.options.Store, Workers: k.options.Workers, Clock: k.options.Clock,
+		Epoch: claim.Epoch, Store: k.options.Store, Workers: k.options.Workers, Machines: k.options.Machines, Clock: k.options.Clock,
 		Logger: k.options.Logger, With: k.with, Fenced: k.resign, Kept: k.applyOwn, Ask: k.asker.Ask,
 	})
 	k.options.Logger.Info("claim: This host holds the cell.", zap.Int64("epoch", claim.Epoch),
@@ -68,15 +65,5 @@
 	return k.liveHosts()
 }
 
-// liveHosts does what hosts does; the caller has the lock. While the log can't be read,
-// nobody can be heard, so the view's own age does not count against a host.
-func (k *Keeper) liveHosts() []journaler.Host {
-	hosts := make([]journaler.Host, 0, len(k.state.Hosts))
-	for _, h := range k.state.Hosts {
-		if k.jobsAt.Sub(k.heardHosts[h.Name]) <= hostSilence {
-			hosts = append(hosts, h)
-		}
-	}
-	slices.SortFunc(hosts, func(a, b journaler.Host) int { return strings.Compare(a.Name, b.Name) })
-	return hosts
-}
+// liveHosts does what hosts does; the caller has the lock.
+func (k *Keeper) liveHosts() []journaler.Host { return k.announcer.Live(k.state.Hosts, k.jobsAt) }
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -23,6 +23,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"lentilrock.example/internal/entry/announcer"
 	"lentilrock.example/internal/entry/asker"
 	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/holder"
@@ -47,6 +48,8 @@
 type Decoder interface {
 	// Config returns false where a key holds no configuration.
 	Config(key string, value []byte) (describer.Config, bool, error)
+	// Wave returns false where a key holds no wave of upkeep.
+	Wave(key string, value []byte) (describer.Wave, bool, error)
 	Worker(id string, value []byte) (describer.Worker, error)
 }
 
@@ -61,6 +64,7 @@
 	Store       storer.Store
 	Decoder     Decoder
 	Workers     holder.Workers
+	Machines    holder.Machines
 	Advisor     asker.Advisor
 	Messenger   *messenger.Messenger
 	Clock       clockwork.Clock
@@ -73,14 +77,15 @@
 	options   Options
 	submitter *submitter.Submitter
 	forwarder *forwarder.Forwarder
+	announcer *announcer.Announcer
 	asker     *asker.Asker
 	yielder   *yielder.Yielder
 
 	mu     sync.Mutex
 	state  *journaler.State
 	config describer.Config
-	// heardHosts has when each entry host was last heard of.
-	heardHosts map[string]time.Time
+	// waves are the waves of upkeep that operators asked for, by number.
+	waves map[int64]describer.Wave
 	// listed are the workers of the host list; missing those that left it lately.
 	listed map[string]describer.Worker
 	// jobsAt and claimsAt are when the topics were last read.
@@ -101,9 +106,6 @@
 	triedEpoch int64
 	triedAt    time.Time
 	leaving    bool
-	// announcedAt is when the peers could read of this host.
-	announcedAt time.Time
-	storeDelay  time.Duration
 }
 
 // New returns a keeper that knows nothing yet.
@@ -114,7 +116,7 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
-	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), heardHosts: make(map[string]time.Time), heardTo: -1}
+	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), waves: make(map[int64]describer.Wave), heardTo: -1}
 	k.submitter = submitter.New(submitter.Options{
 		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
 	})
@@ -122,6 +124,13 @@
 		Self: options.Name, DataCentre: options.DataCentre, Messenger: options.Messenger, Hosts: k.hosts,
 		Keep: k.submitter.Keep, Status: k.statusHere,
 	})
+	k.announcer = announcer.New(announcer.Options{
+		Self: journaler.Host{
+			Name: options.Name, Incarnation: options.Incarnation, Address: options.PeerAddress.String(),
+			DataCentre: options.DataCentre, Cores: options.Cores,
+		},
+		Store: options.Store, Clock: options.Clock, Logger: options.Logger,
+	})
 	k.asker = asker.New(asker.Options{
 		Self: options.Name, DataCentre: options.DataCentre, Advisor: options.Advisor,
 		Messenger: options.Messenger, Hosts: k.hosts, Clock: options.Clock,
@@ -139,7 +148,7 @@
 	for _, f := range k.followers() {
 		duties.Go(func() { f.Run(ctx) })
 	}
-	duties.Go(func() { k.announce(ctx) })
+	duties.Go(func() { k.announcer.Run(ctx) })
 	duties.Go(func() { k.elect(ctx) })
 	duties.Go(func() { k.yield(ctx) })
 	duties.Wait()
--- a/internal/entry/keeper/keeper_test.go
+++ b/internal/entry/keeper/keeper_test.go
@@ -27,9 +27,19 @@
 type decoder struct{}
 
 func (decoder) Config(key string, value []byte) (describer.Config, bool, error) {
+	if key != "config" {
+		return describer.Config{}, false, nil
+	}
 	var config describer.Config
-	err := json.Unmarshal(value, &config)
-	return config, key == "config", err
+	return config, true, json.Unmarshal(value, &config)
+}
+
+func (decoder) Wave(key string, value []byte) (describer.Wave, bool, error) {
+	if !strings.HasPrefix(key, "wave/") {
+		return describer.Wave{}, false, nil
+	}
+	var wave describer.Wave
+	return wave, true, json.Unmarshal(value, &wave)
 }
 
 func (decoder) Worker(_ string, value []byte) (describer.Worker, error) {
--- a/internal/entry/storer/storer.go
+++ b/internal/entry/storer/storer.go
@@ -43,9 +43,11 @@
 	Operators
 	// Workers has what workers say of themselves.
 	Workers
+	// Reports has what operators are told.
+	Reports
 )
 
-var topicNames = [...]string{"jobs", "claims", "operators", "workers"}
+var topicNames = [...]string{"jobs", "claims", "operators", "workers", "reports"}
 
 // String returns the topic's name in logs.
 func (t Topic) String() string { return topicNames[t] }
--- a/internal/entry/yielder/yielder_test.go
+++ b/internal/entry/yielder/yielder_test.go
@@ -20,7 +20,8 @@
 }
 
 // newHost returns a host that answers whether it is ready.
-func newHost(t *testing.T, name string, cores float64, isReady bool) journaler.Host {
+func newHost(t *testing.T, cores float64, isReady bool) journaler.Host {
+	const name = "b"
 	m := newMessenger(t, name)
 	yielder.New(yielder.Options{Self: name, Messenger: m, IsReady: func() bool { return isReady }})
 	server := httptest.NewServer(m)
@@ -36,12 +37,12 @@
 		isSmall   bool
 		hasLarger bool
 	}{
-		{"hosts of one size", []journaler.Host{newHost(t, "b", 0.2, true)}, false, false},
-		{"a larger host that is ready", []journaler.Host{newHost(t, "b", 0.8, true)}, true, true},
-		{"a larger host that is not ready", []journaler.Host{newHost(t, "b", 0.8, false)}, true, false},
+		{"hosts of one size", []journaler.Host{newHost(t, 0.2, true)}, false, false},
+		{"a larger host that is ready", []journaler.Host{newHost(t, 0.8, true)}, true, true},
+		{"a larger host that is not ready", []journaler.Host{newHost(t, 0.8, false)}, true, false},
 		{"a larger host that is gone", []journaler.Host{gone}, true, false},
-		{"another one is ready", []journaler.Host{gone, newHost(t, "b", 0.4, true)}, true, true},
-		{"a host that does not say its size", []journaler.Host{newHost(t, "b", 0, true)}, false, false},
+		{"another one is ready", []journaler.Host{gone, newHost(t, 0.4, true)}, true, true},
+		{"a host that does not say its size", []journaler.Host{newHost(t, 0, true)}, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			require.Equal(t, test.isSmall, yielder.IsSmall(0.2, test.hosts))
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -191,6 +191,39 @@
 	Incarnation int64
 }
 
+// MachineState is what a machine does.
+type MachineState uint8
+
+// States of a machine.
+const (
+	// MachineDown is also that of a state which is not known here.
+	MachineDown MachineState = iota
+	MachineUp
+	MachineMoving
+	MachineInUpkeep
+)
+
+// Machine is a machine of the platform. A worker is one life of a machine.
+type Machine struct {
+	ID string
+	// Pool is the service whose worker the machine is.
+	Pool     string
+	State    MachineState
+	Capacity Resources
+	// Worker is the id of the machine's present life; empty where it has none.
+	Worker string
+}
+
+// Wave asks for the upkeep of machines.
+type Wave struct {
+	Number   int64
+	Machines []string
+	// Duration is in what time all of them should have had it.
+	Duration time.Duration
+	// MaxDown is how many may be down for it at a time.
+	MaxDown int
+}
+
 // HasLabel reports whether the worker has a label; each has the empty one.
 func (w Worker) HasLabel(label string) bool {
 	if label == "" {
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/evacuator"
 	"lentilrock.example/internal/fleet/forgetter"
 	"lentilrock.example/internal/fleet/governor"
 	"lentilrock.example/internal/fleet/journaler"
@@ -55,6 +56,7 @@
 	governor  *governor.Governor
 	watcher   *watcher.Watcher
 	placer    *placer.Placer
+	evacuator *evacuator.Evacuator
 	forgetter forgetter.Forgetter
 }
 
@@ -62,7 +64,7 @@
 func New(options Options, state *journaler.State, now time.Time) *Dispatcher {
 	r := registrar.New(options, state, now)
 	s, g := settler.New(r), governor.New(r)
-	d := &Dispatcher{registrar: r, settler: s, governor: g, watcher: watcher.New(r, s, g), placer: placer.New(r, s)}
+	d := &Dispatcher{registrar: r, settler: s, governor: g, watcher: watcher.New(r, s, g), placer: placer.New(r, s), evacuator: evacuator.New(r, s)}
 	entries := make([]*journaler.Entry, 0, len(state.Jobs))
 	for _, entry := range state.Jobs {
 		entries = append(entries, entry)
@@ -132,6 +134,7 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.registrar.Now = now
 	d.watcher.Tick()
+	d.evacuator.Tick(now)
 	d.placer.Place()
 	d.forgetJobs()
 }
@@ -172,6 +175,25 @@
 	d.governor.PaceAnswered(now, pace, verdict)
 }
 
+// SetWave takes in a wave of upkeep; one that is known stays as it is.
+func (d *Dispatcher) SetWave(now time.Time, wave describer.Wave) { d.evacuator.SetWave(now, wave) }
+
+// NeedsMachines reports whether a wave is open, for which all machines must be listed.
+func (d *Dispatcher) NeedsMachines() bool { return d.evacuator.HasOpenWaves() }
+
+// SetMachines takes in the list of all machines.
+func (d *Dispatcher) SetMachines(now time.Time, machines []describer.Machine) {
+	d.evacuator.SetMachines(now, machines)
+}
+
+// UpkeepAnswered takes in what became of an order to take a machine down.
+func (d *Dispatcher) UpkeepAnswered(now time.Time, order orderer.Upkeep, verdict orderer.DutyVerdict) {
+	d.evacuator.Answered(now, order, verdict)
+}
+
+// WaveReportFailed has a report ordered again that the store did not take.
+func (d *Dispatcher) WaveReportFailed(report orderer.WaveReport) { d.evacuator.ReportFailed(report) }
+
 // SetAskers says how many hosts can ask for advice side by side.
 func (d *Dispatcher) SetAskers(count int) { d.placer.SetAskers(count) }
 
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -39,6 +39,9 @@
 	starts []orderer.Start
 	// isStaggered gives tasks different lengths, so that they don't end together.
 	isStaggered bool
+	// machines are those of the workers; nil where the test needs none.
+	machines *fencer.Machines
+	steps    int
 }
 
 func newCell(t testing.TB, workers int) *cell {
@@ -135,6 +138,11 @@
 	for _, id := range c.d.WorkerIDs() {
 		c.look(id)
 	}
+	if c.steps++; c.machines != nil && c.steps%10 == 0 && c.d.NeedsMachines() {
+		machines, err := c.machines.List(context.Background())
+		require.NoError(c.t, err)
+		c.d.SetMachines(c.clock.Now(), machines)
+	}
 	c.d.Tick(c.clock.Now())
 	for _, order := range c.d.TakeOrders() {
 		c.carryOut(order)
@@ -160,6 +168,10 @@
 		c.d.StartAnswered(now, o, c.fleet.Start(ctx, o))
 	case orderer.Stop:
 		c.d.StopAnswered(now, o, c.fleet.Stop(ctx, o))
+	case orderer.Upkeep:
+		c.d.UpkeepAnswered(now, o, c.machines.Upkeep(ctx, o))
+	case orderer.WaveReport:
+		require.NoError(c.t, c.machines.ReportWave(ctx, o))
 	case orderer.Pace:
 		c.d.PaceAnswered(now, o, c.fleet.Pace(ctx, o))
 	case orderer.Look:
@@ -197,6 +209,15 @@
 }
 
 // requireSound checks that no task ran twice at a time and no worker was over its capacity.
+// atWork counts the tasks that run on workers.
+func (c *cell) atWork() int {
+	count := 0
+	for _, w := range c.fleet.Infos() {
+		count += len(c.fleet.Running(w.ID))
+	}
+	return count
+}
+
 func (c *cell) requireSound() {
 	overlaps, overfull := c.fleet.Faults()
 	require.Empty(c.t, overlaps, "tasks ran twice")
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -14,6 +14,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -31,6 +32,7 @@
 	jobPrefix      = "j/"
 	progressPrefix = "p/"
 	rosterKey      = "w"
+	wavePrefix     = "u/"
 	cancelPrefix   = "x/"
 )
 
@@ -85,6 +87,13 @@
 	Cores float64 `cbor:"5,keyasint,omitempty"`
 }
 
+// WaveProgress has the machines of a wave whose upkeep has begun.
+type WaveProgress struct {
+	Epoch  int64    `cbor:"1,keyasint"`
+	Number int64    `cbor:"2,keyasint"`
+	Done   []string `cbor:"3,keyasint"`
+}
+
 // Outcome is how a job ended.
 type Outcome uint8
 
@@ -160,6 +169,11 @@
 // NewRoster returns the record of a roster.
 func NewRoster(r Roster) (Record, error) { return record(rosterKey, r) }
 
+// NewWave returns the record of how far a wave is.
+func NewWave(w WaveProgress) (Record, error) {
+	return record(wavePrefix+strconv.FormatInt(w.Number, 10), w)
+}
+
 // NewProgress returns the record of a job's progress.
 func NewProgress(id describer.JobID, p Progress) (Record, error) {
 	return record(progressPrefix+string(id), p)
@@ -217,6 +231,8 @@
 	Jobs         map[describer.JobID]*Entry
 	Hosts        map[string]Host
 	Roster       Roster
+	// Waves has how far waves of upkeep are, by their numbers.
+	Waves        map[int64]WaveProgress
 	rosterOffset int64
 	hostOffsets  map[string]int64
 }
@@ -225,7 +241,8 @@
 func New() *State {
 	return &State{
 		ClaimOffset: -1, HolderOffset: -1,
-		Jobs: make(map[describer.JobID]*Entry), Hosts: make(map[string]Host), hostOffsets: make(map[string]int64),
+		Waves: make(map[int64]WaveProgress),
+		Jobs:  make(map[describer.JobID]*Entry), Hosts: make(map[string]Host), hostOffsets: make(map[string]int64),
 	}
 }
 
@@ -243,6 +260,8 @@
 		return nil, s.applyBeat(r, offset)
 	case r.Key == rosterKey:
 		return nil, s.applyRoster(r, offset)
+	case strings.HasPrefix(r.Key, wavePrefix):
+		return nil, s.applyWave(r, offset)
 	case r.Key == claimKey:
 		return nil, s.applyClaim(r, offset)
 	case strings.HasPrefix(r.Key, hostPrefix):
@@ -299,6 +318,19 @@
 	return nil
 }
 
+// applyWave adds what is new: a machine whose upkeep has begun stays so.
+func (s *State) applyWave(r Record, offset int64) error {
+	var next WaveProgress
+	if err := cbor.Unmarshal(r.Value, &next); err != nil {
+		return errors.Errorf("read wave: %w", err)
+	}
+	s.heard(next.Epoch, offset)
+	if len(next.Done) >= len(s.Waves[next.Number].Done) {
+		s.Waves[next.Number] = next
+	}
+	return nil
+}
+
 func (s *State) applyHost(r Record, offset int64) error {
 	name := r.Key[len(hostPrefix):]
 	if offset < s.hostOffsets[name] {
--- a/internal/fleet/minder/minder.go
+++ b/internal/fleet/minder/minder.go
@@ -63,6 +63,8 @@
 	RosterBatch int64
 	// IsSilent reports that the worker has not answered for a while.
 	IsSilent bool
+	// IsLeaving reports that the worker's machine is about to be taken down on purpose.
+	IsLeaving bool
 	// IsDoubted reports that a start was not answered, and nothing was heard since.
 	IsDoubted bool
 	// HeardClock is the worker's clock in the newest answer that was taken in.
@@ -133,12 +135,12 @@
 func (w *Worker) TakesWork(now time.Time) bool {
 	isOneLife := w.Info.Incarnation == 0 || w.Info.Incarnation == w.Incarnation
 	isHeard := w.IsSynced && !w.IsFailing && !w.IsDoubted && w.Lease.IsKnown() && now.Sub(w.AnsweredAt) < Silence
-	return w.IsListed && w.IsEnrolled && !w.Info.Draining && isOneLife && isHeard && w.Trust.TakesWork(now)
+	return w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && isOneLife && isHeard && w.Trust.TakesWork(now)
 }
 
 // BeginLife forgets what is of a former life only.
 func (w *Worker) BeginLife(incarnation int64) {
-	w.Incarnation, w.HeardClock = incarnation, 0
+	w.Incarnation, w.HeardClock, w.IsLeaving = incarnation, 0, false
 	w.Ends, w.Trust, w.Pacer = acknowledger.Ends{}, truster.Trust{}, pacer.Pacer{}
 }
 
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -82,6 +82,44 @@
 	Percent int
 }
 
+// Upkeep orders the platform to take a machine down for a wave. All that runs there ends.
+type Upkeep struct {
+	Machine string
+	Wave    int64
+	// Host is the holder's name, and Token its fencing token.
+	Host  string
+	Token int64
+}
+
+// WaveReport tells operators how far a wave is.
+type WaveReport struct {
+	Wave        int64
+	IsCompleted bool
+}
+
+// DutyVerdict is what became of an order about a machine.
+type DutyVerdict uint8
+
+// Verdicts of orders about machines. Only DutyUnknown leaves open whether the order was
+// carried out.
+const (
+	DutyUnknown DutyVerdict = iota
+	DutyDone
+	// DutyFenced means that a later holder has ordered.
+	DutyFenced
+	// DutyBusy means that the machine is not up, or leaves.
+	DutyBusy
+	// DutyInvalid means that the machine is not of the wave, or gone.
+	DutyInvalid
+	// DutyRefused means that nothing was done and the order may be repeated.
+	DutyRefused
+)
+
+var dutyNames = [...]string{"unknown", "done", "fenced", "busy", "invalid", "refused"}
+
+// String returns the verdict's name in logs.
+func (v DutyVerdict) String() string { return dutyNames[v] }
+
 // Look asks a worker what runs and what ended there, and extends its lease.
 type Look struct {
 	Worker describer.Worker
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -36,7 +36,9 @@
 // Options are the settings of a cell's dispatch.
 type Options struct {
 	// Epoch is that of the claim, and the fencing token of all orders.
-	Epoch    int64
+	Epoch int64
+	// Host is the holder's name.
+	Host     string
 	Lease    time.Duration
 	LookWait time.Duration
 	HoldMax  time.Duration
--- a/internal/fleet/saver/saver.go
+++ b/internal/fleet/saver/saver.go
@@ -33,6 +33,8 @@
 	isRosterOld bool
 	// forgotten are the jobs whose progress is to be removed.
 	forgotten []describer.JobID
+	// waves are the waves whose progress is to be kept.
+	waves map[int64]journaler.WaveProgress
 }
 
 // Changed notes that a job's progress must be kept.
@@ -49,9 +51,17 @@
 // Forget has the progress of jobs removed that are gone otherwise.
 func (s *Saver) Forget(ids []describer.JobID) { s.forgotten = append(s.forgotten, ids...) }
 
+// WaveChanged notes that a wave's progress must be kept.
+func (s *Saver) WaveChanged(w journaler.WaveProgress) {
+	if s.waves == nil {
+		s.waves = make(map[int64]journaler.WaveProgress)
+	}
+	s.waves[w.Number] = w
+}
+
 // HasProgress reports whether there is something to keep.
 func (s *Saver) HasProgress() bool {
-	return len(s.changed) > 0 || s.isRosterOld || len(s.forgotten) > 0
+	return len(s.changed) > 0 || s.isRosterOld || len(s.forgotten) > 0 || len(s.waves) > 0
 }
 
 // Batch returns the batch by which all changes so far are kept.
@@ -99,6 +109,16 @@
 		records = append(records, journaler.ForgetProgress(id))
 	}
 	s.forgotten = nil
+	for number, w := range s.waves {
+		w.Epoch = epoch
+		record, err := journaler.NewWave(w)
+		if err != nil {
+			faults = errors.Join(faults, errors.Errorf("wave %d: %w", number, err))
+			continue
+		}
+		records = append(records, record)
+		delete(s.waves, number)
+	}
 	if s.isRosterOld {
 		record, err := s.roster(epoch, workers)
 		if err != nil {
--- a/internal/fleet/settler/order.go
+++ b/internal/fleet/settler/order.go
@@ -24,6 +24,7 @@
 	s.SendStop(r)
 }
 
+// SendStop orders the end of a run that is being stopped.
 func (s *Settler) SendStop(r *tasker.Run) {
 	w, found := s.Workers[r.Worker]
 	if !found {
--- a/internal/fleet/settler/settler.go
+++ b/internal/fleet/settler/settler.go
@@ -45,7 +45,7 @@
 	if r.AnsweredAt.IsZero() {
 		r.AnsweredAt = s.Now
 	}
-	r.Usage = running.Usage
+	r.Usage, r.Done = running.Usage, running.Percent
 	if r.Task != nil {
 		r.Task.SaveCheckpoint(running.Checkpoint)
 	}
--- a/internal/fleet/tasker/copy.go
+++ b/internal/fleet/tasker/copy.go
@@ -53,3 +53,17 @@
 	}
 	return now.Sub(t.Run.SentAt) > time.Duration(copyAfter*float64(expected))+copyMargin
 }
+
+// Away counts the tasks of a lasting step that are not at work, those on one worker left
+// aside. Tasks on workers that are about to go count as away.
+func (s *Step) Away(worker string, isGoing func(worker string) bool) int {
+	count := 0
+	for _, t := range s.Tasks {
+		isAtWork := t.Run != nil && t.Run.Done >= FullPercent && !t.Run.Stopping && !isGoing(t.Run.Worker)
+		isThere := t.Run != nil && t.Run.Worker == worker
+		if !isThere && !isAtWork {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -105,6 +105,8 @@
 	SentAt time.Time
 	// AnsweredAt is when the worker said that the run is there; zero while that is open.
 	AnsweredAt time.Time
+	// Done is the share of the work that is done, in percent; a lasting task is at work at 100.
+	Done int
 	// Usage is the last reading of the run: see orderer.Running.
 	Usage int64
 	// Percent is the share of its speed at which the run works, as far as the worker has said
--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -368,6 +368,8 @@
 	inventory := orderer.Inventory{Incarnation: w.Info.Incarnation, Clock: f.clockOf(w), Ended: slices.Clone(w.ends)}
 	for _, r := range w.runs {
 		running := r.Running
+		// Only lasting tasks are asked for it, which are at work from their start.
+		running.Percent = 100
 		running.Usage = f.usage(w, r)
 		inventory.Running = append(inventory.Running, running)
 	}
