--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -175,6 +175,16 @@
 
 func (f *Fleet) clockOf(w *Worker) time.Duration { return f.clock.Since(w.started) }
 
+// ClockOf returns a worker's steady clock.
+func (f *Fleet) ClockOf(id string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w, found := f.workers[id]; found {
+		return f.clockOf(w)
+	}
+	return 0
+}
+
 // settle ends what is done and what has lapsed.
 func (f *Fleet) settle(w *Worker) {
 	now := f.clock.Now()
--- a/internal/standin/fencer/machines.go
+++ b/internal/standin/fencer/machines.go
@@ -20,6 +20,9 @@
 
 	mu       sync.Mutex
 	machines []*machine
+	// Reborn is told of each worker that takes a former one's place, and may change its
+	// address; nil where nobody needs to know.
+	Reborn func(former string, next *describer.Worker)
 	// LosesAnswers carries orders out and answers nothing.
 	LosesAnswers bool
 	reports      []orderer.WaveReport
@@ -59,6 +62,9 @@
 		info := m.fleet.infoOf(each.info.Worker)
 		info.ID += "+"
 		info.Incarnation++
+		if m.Reborn != nil {
+			m.Reborn(each.info.Worker, &info)
+		}
 		m.fleet.Remove(each.info.Worker)
 		m.fleet.Add(info)
 		each.info.Worker, each.info.State = info.ID, describer.MachineUp
