Gather what callers hand in at the holder, so that a slow store gets few appends

A partition takes one append after the other, so 31 hosts with two appends each fill the 2 s that may wait there; the rest is refused, what waits counts as lost after 0.8 s and is sent again, and the queue stays full.

Change: a host hands records to the holder, which appends those of all hosts together: up to four batches side by side while the store is fast, two while it is slow. An append counts as lost once a later one is answered, as the store takes them in turn, else after 0.8 s, or 2.4 s at a slow store. A holder that is not heard, or did not answer, is passed over; what the store refuses here goes to the holder at once.

TestSlowStore was red before (116 of 120 jobs lost; now 12 at most, while the store's speed is not known).

--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -29,8 +29,14 @@
 	maxPeers = 3
 	// callTimeout bounds a call to one peer.
 	callTimeout = 800 * time.Millisecond
+	// gatherTimeout bounds a call to the holder, which gathers the records of all hosts: two
+	// appends at a slow store and the way there fit in.
+	gatherTimeout = 1900 * time.Millisecond
 )
 
+// ErrNoHolder means that no other host holds the cell, or that it can't be reached.
+var ErrNoHolder = errors.New("there is no holder to ask")
+
 // Outcome is what became of a record at a peer.
 type Outcome uint8
 
@@ -58,6 +64,8 @@
 	// Messenger reaches the peers; nil means that there are none.
 	Messenger *messenger.Messenger
 	Hosts     func() []journaler.Host
+	// Holder returns the host that holds the cell; false where that is this host or nobody.
+	Holder func() (journaler.Host, bool)
 	// Keep keeps a record without the help of peers.
 	Keep func(ctx context.Context, record journaler.Record) error
 	// Status answers for a job without the help of peers.
@@ -79,16 +87,36 @@
 	return f
 }
 
-// peers returns other hosts, those of this data centre first.
+// holder returns the address of the holder, where that is another host.
+func (f *Forwarder) holder() (netip.AddrPort, bool) {
+	if f.options.Messenger == nil || f.options.Holder == nil {
+		return netip.AddrPort{}, false
+	}
+	h, found := f.options.Holder()
+	if !found {
+		return netip.AddrPort{}, false
+	}
+	address, err := netip.ParseAddrPort(h.Address)
+	return address, err == nil
+}
+
+// HasHolder reports whether another host holds the cell and can be asked.
+func (f *Forwarder) HasHolder() bool {
+	_, found := f.holder()
+	return found
+}
+
+// peers returns other hosts but the holder, which Gather asks; those of this data centre first.
 func (f *Forwarder) peers() []netip.AddrPort {
 	if f.options.Messenger == nil {
 		return nil
 	}
+	holder, _ := f.holder()
 	var near, far []netip.AddrPort
 	for _, h := range f.options.Hosts() {
 		address, err := netip.ParseAddrPort(h.Address)
 		switch {
-		case err != nil || h.Name == f.options.Self:
+		case err != nil || h.Name == f.options.Self || address == holder:
 		case h.DataCentre == f.options.DataCentre:
 			near = append(near, address)
 		default:
@@ -100,6 +128,32 @@
 	return append(peers, far[:min(len(far), maxPeers-len(peers))]...)
 }
 
+// Gather has the holder keep a record together with those of other hosts, which costs a slow
+// store one append for all of them. Errors are those of Keep, or wrap ErrNoHolder.
+func (f *Forwarder) Gather(ctx context.Context, record journaler.Record) error {
+	holder, found := f.holder()
+	if !found {
+		return errors.Errorf("keep through the holder: %w", ErrNoHolder)
+	}
+	return errors.Wrap(f.keepAt(ctx, holder, gatherTimeout, record), "keep through the holder")
+}
+
+// keepAt has one peer keep a record.
+func (f *Forwarder) keepAt(ctx context.Context, peer netip.AddrPort, timeout time.Duration, record journaler.Record) error {
+	calling, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	outcome, err := messenger.Call[journaler.Record, Outcome](calling, f.options.Messenger, peer, keepKind, record)
+	switch {
+	case err == nil && outcome == OutcomeKept:
+		return nil
+	case errors.Is(err, messenger.ErrUnreachable):
+		return errors.Mark(ErrNoHolder, storer.ErrRefused)
+	case err == nil && outcome == OutcomeRefused:
+		return storer.ErrRefused
+	}
+	return storer.ErrNotKnown
+}
+
 // Keep has a peer keep a record. Errors wrap storer.ErrRefused, after which the record is
 // never kept, or storer.ErrNotKnown.
 func (f *Forwarder) Keep(ctx context.Context, record journaler.Record) error {
@@ -108,16 +162,11 @@
 		if ctx.Err() != nil {
 			break
 		}
-		calling, cancel := context.WithTimeout(ctx, callTimeout)
-		outcome, err := messenger.Call[journaler.Record, Outcome](calling, f.options.Messenger, peer, keepKind, record)
-		cancel()
-		switch {
-		case err == nil && outcome == OutcomeKept:
+		err := f.keepAt(ctx, peer, callTimeout, record)
+		if err == nil {
 			return nil
-		case err == nil && outcome == OutcomeRefused, errors.Is(err, messenger.ErrUnreachable):
-		default:
-			isOpen = true
 		}
+		isOpen = isOpen || !errors.Is(err, storer.ErrRefused)
 	}
 	if isOpen {
 		return errors.Errorf("keep through peers: %w", storer.ErrNotKnown)
@@ -142,7 +191,7 @@
 }
 
 func (f *Forwarder) keepForPeer(ctx context.Context, _ messenger.Hello, record journaler.Record) (Outcome, error) {
-	keeping, cancel := context.WithTimeout(ctx, callTimeout)
+	keeping, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
 	err := f.options.Keep(keeping, record)
 	switch {
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -91,6 +91,40 @@
 	})
 }
 
+func TestGather(t *testing.T) {
+	record := journaler.Record{Key: "j/a", Value: []byte("job")}
+	for _, test := range []struct {
+		name      string
+		keepError error
+		hasHolder bool
+		want      error
+	}{
+		{"the holder keeps it", nil, true, nil},
+		{"the holder refuses", errors.Wrap(storer.ErrRefused, "test"), true, storer.ErrRefused},
+		{"the holder does not know", storer.ErrNotKnown, true, storer.ErrNotKnown},
+		{"nobody else holds the cell", nil, false, forwarder.ErrNoHolder},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			holder := newPeer(t, "holder", "brno")
+			holder.keepError = test.keepError
+			m := messenger.New(messenger.Options{Self: messenger.Hello{Host: descriptor.HostID{Name: "self"}}})
+			t.Cleanup(m.Close)
+			f := forwarder.New(forwarder.Options{
+				Self: "self", Messenger: m, Hosts: func() []journaler.Host { return nil },
+				Holder: func() (journaler.Host, bool) { return holder.host, test.hasHolder },
+			})
+			require.Equal(t, test.hasHolder, f.HasHolder())
+			err := f.Gather(t.Context(), record)
+			if test.want == nil {
+				require.NoError(t, err)
+				require.Len(t, holder.kept, 1)
+				return
+			}
+			require.True(t, errors.Is(err, test.want), "%v", err)
+		})
+	}
+}
+
 func TestStatus(t *testing.T) {
 	t.Run("the first peer that knows answers", func(t *testing.T) {
 		near, far := newPeer(t, "near", "brno"), newPeer(t, "far", "praha")
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -67,3 +67,12 @@
 
 // liveHosts does what hosts does; the caller has the lock.
 func (k *Keeper) liveHosts() []journaler.Host { return k.announcer.Live(k.state.Hosts, k.jobsAt) }
+
+// otherHolder returns the host that holds the cell; false where that is this host or nobody.
+func (k *Keeper) otherHolder() (journaler.Host, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	claim := k.state.Claim
+	h, found := k.state.Hosts[claim.Host]
+	return h, found && !claim.Released && claim.Host != k.options.Name
+}
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -105,7 +105,9 @@
 	// triedEpoch is the highest that this host tried to claim.
 	triedEpoch int64
 	triedAt    time.Time
-	leaving    bool
+	// gatherAt is when the holder may be asked again to keep records.
+	gatherAt time.Time
+	leaving  bool
 }
 
 // New returns a keeper that knows nothing yet.
@@ -119,9 +121,10 @@
 	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), waves: make(map[int64]describer.Wave), heardTo: -1}
 	k.submitter = submitter.New(submitter.Options{
 		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
+		HasAlternative: func() bool { return k.forwarder.HasHolder() },
 	})
 	k.forwarder = forwarder.New(forwarder.Options{
-		Self: options.Name, DataCentre: options.DataCentre, Messenger: options.Messenger, Hosts: k.hosts,
+		Self: options.Name, DataCentre: options.DataCentre, Messenger: options.Messenger, Hosts: k.hosts, Holder: k.otherHolder,
 		Keep: k.submitter.Keep, Status: k.statusHere,
 	})
 	k.announcer = announcer.New(announcer.Options{
--- a/internal/entry/keeper/keeper_test.go
+++ b/internal/entry/keeper/keeper_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -320,6 +321,43 @@
 	})
 }
 
+// TestSlowStore answers a store whose appends take 60 times as long: appends of each host
+// apart would wait longer than callers do.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 12)
+		defer c.end()
+		c.store.SetSlow(300 * time.Millisecond)
+		time.Sleep(time.Second)
+		var waiting sync.WaitGroup
+		accepted := make([]error, 120)
+		for i := range accepted {
+			waiting.Go(func() { accepted[i] = c.submit(i%12, describer.JobID(fmt.Sprintf("job-%d", i)), 1) })
+			time.Sleep(50 * time.Millisecond)
+		}
+		waiting.Wait()
+		lost := 0
+		for _, err := range accepted {
+			if err != nil {
+				lost++
+			}
+		}
+		require.LessOrEqual(t, lost, 12, "of %d jobs within 6 s; a tenth may be lost until the store's speed is known", len(accepted))
+		c.store.SetSlow(0)
+		time.Sleep(8 * time.Second)
+		for i, err := range accepted {
+			state, statusErr := c.status(i%12, describer.JobID(fmt.Sprintf("job-%d", i)))
+			switch {
+			case err == nil:
+				require.NoError(t, statusErr)
+				require.Equal(t, describer.JobCompleted, state)
+			case errors.Is(err, storer.ErrRefused):
+				require.True(t, errors.Is(statusErr, keeper.ErrNoJob), "a refused job never runs")
+			}
+		}
+	})
+}
+
 func TestLostAnswersOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 2)
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -17,6 +17,11 @@
 const (
 	// viewAge is how old the view of the log may be to deny a job.
 	viewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
+	// quietHolder is when a holder that was not heard is not asked to keep records: two beats
+	// and a read of the log fit in.
+	quietHolder = 1200 * time.Millisecond
+	// gatherPause keeps records away from a holder that did not answer.
+	gatherPause = 2 * time.Second
 	// keepTimeout is when a record is handed to a peer that this host could not keep.
 	keepTimeout = 1100 * time.Millisecond
 	// silentStore is when a store that answers nothing counts as down: reads wait a second.
@@ -105,28 +110,70 @@
 	return forwarder.Answer{State: entry.JobState()}
 }
 
-// keep keeps a record, through a peer where the store can't be reached from here.
+// keep keeps a record: through the holder, so that a slow store gets few appends and the
+// holder knows of the job at once, else here, else through other peers.
 func (k *Keeper) keep(ctx context.Context, record journaler.Record) error {
+	isHere := !k.isStoreDown()
+	switch {
+	case k.isHolderQuiet() && isHere:
+		return tryInTurn(ctx, record, k.keepHere, k.gather, k.forwarder.Keep)
+	case isHere:
+		return tryInTurn(ctx, record, k.gather, k.keepHere, k.forwarder.Keep)
+	}
+	return tryInTurn(ctx, record, k.gather, k.forwarder.Keep)
+}
+
+// isHolderQuiet reports whether the holder may be gone, or did not answer a while ago.
+func (k *Keeper) isHolderQuiet() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	return now.Sub(k.beatAt) > quietHolder || now.Before(k.gatherAt)
+}
+
+// tryInTurn keeps a record in the first way that does it. An outcome that one way left open
+// is not called a refusal.
+func tryInTurn(ctx context.Context, record journaler.Record, ways ...func(context.Context, journaler.Record) error) error {
 	isOpen := false
-	if !k.isStoreDown() {
-		trying, cancel := context.WithTimeout(ctx, keepTimeout)
-		err := k.submitter.Keep(trying, record)
-		cancel()
-		if err == nil {
+	var err error
+	for _, way := range ways {
+		if err = way(ctx, record); err == nil {
 			return nil
 		}
-		isOpen = !errors.Is(err, storer.ErrRefused)
+		isOpen = isOpen || errors.Is(err, storer.ErrNotKnown)
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	err := k.forwarder.Keep(ctx, record)
-	switch {
-	case err == nil:
-		return nil
-	case isOpen:
+	if isOpen {
 		return errors.Errorf("keep record %s: %w", record.Key, storer.ErrNotKnown)
 	}
 	return err
 }
 
+// gather has the holder keep a record. A holder that does not answer is left alone for a
+// while.
+func (k *Keeper) gather(ctx context.Context, record journaler.Record) error {
+	err := k.forwarder.Gather(ctx, record)
+	if errors.Is(err, storer.ErrNotKnown) {
+		k.mu.Lock()
+		k.gatherAt = k.now().Add(gatherPause)
+		k.mu.Unlock()
+	}
+	return err
+}
+
+// keepHere keeps a record without the help of peers. The holder is where the others would go,
+// so it waits as long as the caller does.
+func (k *Keeper) keepHere(ctx context.Context, record journaler.Record) error {
+	if k.forwarder.HasHolder() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, keepTimeout)
+		defer cancel()
+	}
+	return k.submitter.Keep(ctx, record)
+}
+
 // isStoreDown reports whether the store has not answered for a while.
 func (k *Keeper) isStoreDown() bool {
 	k.mu.Lock()
--- a/internal/entry/submitter/submitter.go
+++ b/internal/entry/submitter/submitter.go
@@ -26,16 +26,31 @@
 const (
 	// ringSize bounds the submissions that wait for the store.
 	ringSize = 1024
-	// writers append side by side, so that a lost answer does not hold up the others. More
-	// would fill the store's queue when it is slow; few gather larger batches instead.
-	writers = 2
+	// maxAppends are under way side by side, so that a lost answer does not hold up the others.
+	maxAppends = 4
+	// maxSlowAppends are while the store is slow: more would fill its queue, few gather larger
+	// batches instead.
+	maxSlowAppends = 2
+	// lateAppend is when an append that was not answered may be lost or slow.
+	lateAppend = 100 * time.Millisecond
+	// probePause separates appends beside others that may be lost or slow.
+	probePause = 250 * time.Millisecond
+	// gatePoll is how often it is looked whether one more append may begin.
+	gatePoll = 10 * time.Millisecond
 	// batchSize bounds the submissions of one append.
 	batchSize = 64
-	// appendTimeout bounds an append before it is repeated.
-	appendTimeout = 800 * time.Millisecond
+	// lostTimeout is when the answer of a store that was fast counts as lost.
+	lostTimeout = 800 * time.Millisecond
+	// slowTimeout bounds an append at a slow store: it lets 2 s of appends wait, and repeating
+	// one would add to them.
+	slowTimeout = 2400 * time.Millisecond
+	// fastAppend is below what a slow store takes, and above what a far host needs of one
+	// that is well.
+	fastAppend = 250 * time.Millisecond
 	// refusedPause separates appends that the store refuses.
 	refusedPause = 120 * time.Millisecond
-	// refusedFor is how long refused submissions are tried again.
+	// refusedFor is how long refused submissions are tried again where nobody else could keep
+	// them.
 	refusedFor = 600 * time.Millisecond
 )
 
@@ -46,12 +61,30 @@
 	Logger *zap.Logger
 	// Kept is told of records that were appended, with the offset of the first.
 	Kept func(records []journaler.Record, offset int64)
+	// HasAlternative reports whether a peer could keep what the store refuses here; nil means
+	// that none can.
+	HasAlternative func() bool
 }
 
 // Submitter appends records of callers.
 type Submitter struct {
 	options Options
 	ring    *buffer.Ring[*submission]
+
+	mu sync.Mutex
+	// underWay are the appends that were not answered yet.
+	underWay map[*call]bool
+	// isSlow reports that the newest append took long or was not answered.
+	isSlow bool
+	// batches counts those that are not done, of which the newest began at beganAt.
+	batches int
+	beganAt time.Time
+}
+
+// call is an append that was not answered yet.
+type call struct {
+	began  time.Time
+	cancel context.CancelFunc
 }
 
 // submission is a record that a caller waits for.
@@ -63,16 +96,111 @@
 
 // New returns a submitter.
 func New(options Options) *Submitter {
-	return &Submitter{options: options, ring: buffer.New[*submission](ringSize)}
+	if options.HasAlternative == nil {
+		options.HasAlternative = func() bool { return false }
+	}
+	return &Submitter{options: options, ring: buffer.New[*submission](ringSize), underWay: make(map[*call]bool)}
+}
+
+// begin lets one more batch be appended, if that helps: many side by side while the store is
+// fast, few while it is slow, and one now and then while that is open.
+func (s *Submitter) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	isLate := false
+	for c := range s.underWay {
+		isLate = isLate || now.Sub(c.began) > lateAppend
+	}
+	switch {
+	case s.batches < maxSlowAppends:
+	case s.batches >= maxAppends || s.isSlow || isLate && now.Sub(s.beganAt) < probePause:
+		return false
+	}
+	s.batches++
+	s.beganAt = now
+	return true
+}
+
+// end notes that a batch is done.
+func (s *Submitter) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.batches--
+}
+
+// call appends once. An append counts as lost when a later one is answered, since the store
+// takes them one after the other, or after a time.
+func (s *Submitter) call(ctx context.Context, records []journaler.Record) (int64, error) {
+	c := &call{began: s.options.Clock.Now()}
+	s.mu.Lock()
+	timeout := lostTimeout
+	if s.isSlow {
+		timeout = slowTimeout
+	}
+	ctx, c.cancel = context.WithTimeout(ctx, timeout)
+	s.underWay[c] = true
+	s.mu.Unlock()
+	defer c.cancel()
+	offset, err := s.options.Store.Append(ctx, storer.Append{Topic: storer.Jobs, Records: records})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.underWay, c)
+	now := s.options.Clock.Now()
+	isFast := now.Sub(c.began) <= fastAppend
+	switch {
+	case err == nil:
+		s.isSlow = !isFast
+		s.cancelOvertaken(c.began, now)
+	case errors.Is(err, storer.ErrNotKnown) && !isFast:
+		s.isSlow = true
+	}
+	return offset, err
+}
+
+// cancelOvertaken ends the appends that began before one that was answered.
+func (s *Submitter) cancelOvertaken(answered, now time.Time) {
+	for c := range s.underWay {
+		if c.began.Before(answered) && now.Sub(c.began) > fastAppend {
+			c.cancel()
+		}
+	}
 }
 
 // Run appends until ctx ends.
 func (s *Submitter) Run(ctx context.Context) {
 	var duties sync.WaitGroup
-	for range writers {
-		duties.Go(func() { s.write(ctx) })
+	defer duties.Wait()
+	for {
+		first, ok := s.ring.Take(ctx)
+		if !ok {
+			return
+		}
+		for !s.begin() && ctx.Err() == nil {
+			pauser.Pause(ctx, s.options.Clock, gatePoll)
+		}
+		batch := s.gather(first)
+		duties.Go(func() {
+			err := s.append(ctx, batch)
+			s.end()
+			for _, waiting := range batch {
+				waiting.reply <- err
+			}
+		})
 	}
-	duties.Wait()
+}
+
+// gather returns a submission with those that wait behind it.
+func (s *Submitter) gather(first *submission) []*submission {
+	batch := []*submission{first}
+	for len(batch) < batchSize {
+		next, found := s.ring.Poll()
+		if !found {
+			break
+		}
+		batch = append(batch, next)
+	}
+	return batch
 }
 
 // Keep appends a record and waits until it is kept. Errors wrap storer.ErrRefused, after
@@ -90,28 +218,6 @@
 	}
 }
 
-// write appends the submissions that wait.
-func (s *Submitter) write(ctx context.Context) {
-	for {
-		first, ok := s.ring.Take(ctx)
-		if !ok {
-			return
-		}
-		batch := []*submission{first}
-		for len(batch) < batchSize {
-			next, found := s.ring.Poll()
-			if !found {
-				break
-			}
-			batch = append(batch, next)
-		}
-		err := s.append(ctx, batch)
-		for _, waiting := range batch {
-			waiting.reply <- err
-		}
-	}
-}
-
 // append appends the records of a batch. An append without an answer is repeated
 // while a caller waits: each record is idempotent.
 func (s *Submitter) append(ctx context.Context, batch []*submission) error {
@@ -121,14 +227,12 @@
 	}
 	began, isOpen := s.options.Clock.Now(), false
 	for {
-		appending, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := s.options.Store.Append(appending, storer.Append{Topic: storer.Jobs, Records: records})
-		cancel()
+		offset, err := s.call(ctx, records)
 		switch {
 		case err == nil:
 			s.options.Kept(records, offset)
 			return nil
-		case errors.Is(err, storer.ErrRefused) && !isOpen && s.options.Clock.Now().Sub(began) > refusedFor:
+		case errors.Is(err, storer.ErrRefused) && !isOpen && s.isGivenUp(began):
 			s.options.Logger.Warn("submit: The store refused.", zap.Int("records", len(records)), zap.String("error", err.Error()))
 			return errors.Errorf("append %d records: %w", len(records), storer.ErrRefused)
 		case !errors.Is(err, storer.ErrRefused):
@@ -141,6 +245,11 @@
 	}
 }
 
+// isGivenUp reports whether a refused append that began then is not tried again.
+func (s *Submitter) isGivenUp(began time.Time) bool {
+	return s.options.HasAlternative() || s.options.Clock.Now().Sub(began) > refusedFor
+}
+
 func someoneWaits(batch []*submission) bool {
 	for _, waiting := range batch {
 		if waiting.ctx.Err() == nil {
--- a/internal/standin/fencer/store.go
+++ b/internal/standin/fencer/store.go
@@ -11,8 +11,12 @@
 	"lentilrock.example/internal/entry/storer"
 )
 
-// appendTime is how long the stand-in takes for an append.
-const appendTime = 5 * time.Millisecond
+const (
+	// appendTime is how long the stand-in takes for an append.
+	appendTime = 5 * time.Millisecond
+	// maxQueued is how much time of appends may wait for a topic before more are refused.
+	maxQueued = 2 * time.Second
+)
 
 // Store is a store in memory that keeps the newest record of each key.
 type Store struct {
@@ -27,11 +31,15 @@
 	// IsDown answers nothing; loses carries appends out without an answer.
 	isDown bool
 	loses  int
+	// slowAppend is how long each append of a topic takes, one after the other; 0 means that
+	// they take no turns. freeAt is when a topic's last one is done.
+	slowAppend time.Duration
+	freeAt     map[storer.Topic]time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore(clock clockwork.Clock) *Store {
-	return &Store{clock: clock, topics: make(map[storer.Topic][]storer.Entry), offsets: make(map[int64]int64), sequence: -1}
+	return &Store{clock: clock, topics: make(map[storer.Topic][]storer.Entry), offsets: make(map[int64]int64), sequence: -1, freeAt: make(map[storer.Topic]time.Time)}
 }
 
 // SetDown lets the store refuse everything, or serve again.
@@ -41,6 +49,33 @@
 	s.isDown = isDown
 }
 
+// SetSlow has each append of a topic take so long, one after the other.
+func (s *Store) SetSlow(each time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowAppend = each
+}
+
+// takeTurn waits for a topic's appends before this one; false means that too many wait.
+func (s *Store) takeTurn(topic storer.Topic) bool {
+	s.mu.Lock()
+	now := s.clock.Now()
+	free := s.freeAt[topic]
+	if free.Before(now) {
+		free = now
+	}
+	if s.slowAppend == 0 || free.Sub(now) > maxQueued {
+		isRefused := s.slowAppend > 0
+		s.mu.Unlock()
+		return !isRefused
+	}
+	free = free.Add(s.slowAppend)
+	s.freeAt[topic] = free
+	s.mu.Unlock()
+	s.clock.Sleep(free.Sub(now))
+	return true
+}
+
 // LoseAnswers has the next appends carried out without an answer.
 func (s *Store) LoseAnswers(count int) {
 	s.mu.Lock()
@@ -61,6 +96,9 @@
 	if err := s.pause(ctx); err != nil {
 		return 0, err
 	}
+	if !s.takeTurn(call.Topic) {
+		return 0, errors.Errorf("append: too many wait: %w", storer.ErrRefused)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isDown {
