Look for a place only among the workers with a ticket, and tick less where ticks take long

Cause: each waiting step was tried against all workers at each tick (350 on the grown sites), though a queue with advice can start only on the few workers that it has tickets for. An order has one timer instead of two.

--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -29,8 +29,12 @@
 	beatEvery = 400 * time.Millisecond
 	// tickEvery is how often the dispatcher looks at what is due without an event.
 	tickEvery = 30 * time.Millisecond
-	// tickGap gathers events that come close together.
-	tickGap = 3 * time.Millisecond
+	// tickGap gathers events that come close together, as do tickShare times what a tick took:
+	// decisions then leave most of a busy host's processor to the orders.
+	tickGap   = 3 * time.Millisecond
+	tickShare = 4
+	// maxTickGap bounds the gap.
+	maxTickGap = 40 * time.Millisecond
 	// saveLinger gathers progress into one append.
 	saveLinger = 15 * time.Millisecond
 	// saveTimeout bounds an append of progress before it is repeated.
@@ -150,6 +154,7 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
+		began := clock.Now()
 		var orders []dispatcher.Order
 		var hasProgress, isFenced bool
 		var started []string
@@ -177,7 +182,7 @@
 			default:
 			}
 		}
-		pauser.Pause(ctx, clock, tickGap)
+		pauser.Pause(ctx, clock, min(max(tickGap, tickShare*clock.Since(began)), maxTickGap))
 	}
 }
 
@@ -225,8 +230,7 @@
 // carryOut sends an order and reports its answer.
 func (h *Holder) carryOut(ctx context.Context, order dispatcher.Order) {
 	workers := h.options.Workers
-	ordering, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
+	timeout := orderTimeout
 	switch o := order.(type) {
 	case orderer.Advise:
 		h.advise(ctx, o)
@@ -234,6 +238,12 @@
 	case orderer.Upkeep, orderer.WaveReport:
 		h.carryOutDuty(ctx, o)
 		return
+	case orderer.Start:
+		timeout = o.Timeout
+	}
+	ordering, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	switch o := order.(type) {
 	case orderer.Look:
 		inventory, verdict := workers.Look(ordering, o)
 		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.Looked(now, o, inventory, verdict) })
@@ -241,9 +251,7 @@
 		verdict := workers.Pace(ordering, o)
 		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.PaceAnswered(now, o, verdict) })
 	case orderer.Start:
-		starting, cancel := context.WithTimeout(ctx, o.Timeout)
-		defer cancel()
-		verdict := workers.Start(starting, o)
+		verdict := workers.Start(ordering, o)
 		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.StartAnswered(now, o, verdict) })
 	case orderer.Stop:
 		verdict := workers.Stop(ordering, o)
--- a/internal/fleet/adviser/adviser.go
+++ b/internal/fleet/adviser/adviser.go
@@ -55,7 +55,9 @@
 
 // Book is what is known of the workers that may run a step. Its zero value knows nothing.
 type Book struct {
-	tickets   map[string]Ticket
+	tickets map[string]Ticket
+	// holders are the workers with a ticket, by name.
+	holders   []string
 	isGood    map[string]bool
 	askedAt   time.Time
 	isAsking  bool
@@ -71,8 +73,22 @@
 	return t.Value, true
 }
 
+// Holders returns the workers for which there is a ticket, which may have lapsed, by name.
+func (b *Book) Holders() []string { return b.holders }
+
 // Drop forgets a ticket that the worker refused.
-func (b *Book) Drop(worker string) { delete(b.tickets, worker) }
+func (b *Book) Drop(worker string) {
+	delete(b.tickets, worker)
+	b.sortHolders()
+}
+
+func (b *Book) sortHolders() {
+	b.holders = b.holders[:0]
+	for worker := range b.tickets {
+		b.holders = append(b.holders, worker)
+	}
+	slices.Sort(b.holders)
+}
 
 // MayAsk reports whether no question is under way and none failed just now.
 func (b *Book) MayAsk(now time.Time) bool {
@@ -132,6 +148,7 @@
 			b.tickets[id] = Ticket{Value: value, Incarnation: incarnation, Until: until}
 		}
 	}
+	b.sortHolders()
 	return good
 }
 
--- a/internal/fleet/placer/copy.go
+++ b/internal/fleet/placer/copy.go
@@ -18,11 +18,12 @@
 // the step allows them and room is left over.
 func (p *Placer) placeCopies() {
 	for _, s := range tasker.Speculative(p.Jobs, p.Now) {
+		candidates := p.candidates(s)
 		for _, t := range s.Tasks {
 			if !p.deservesCopy(t) {
 				continue
 			}
-			w, ticket := p.chooser.Best(t, p.Ordered, chooser.Plan{}, p.Now)
+			w, ticket := p.chooser.Best(t, candidates, chooser.Plan{}, p.Now)
 			if w == nil {
 				break
 			}
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -70,13 +70,29 @@
 	return len(p.Ordered) == 0
 }
 
+// candidates returns the workers on which a task of a step could start at all.
+func (p *Placer) candidates(s *tasker.Step) []*minder.Worker {
+	if !s.Job.Queue.NeedsAdvice() {
+		return p.Ordered
+	}
+	holders := s.Advice.Holders()
+	candidates := make([]*minder.Worker, 0, len(holders))
+	for _, id := range holders {
+		if w, found := p.Workers[id]; found {
+			candidates = append(candidates, w)
+		}
+	}
+	return candidates
+}
+
 // placeStep starts as many tasks of a step as find a place.
 func (p *Placer) placeStep(s *tasker.Step) {
+	candidates := p.candidates(s)
 	for _, t := range s.Tasks {
 		if !t.IsWaiting(p.Now) {
 			continue
 		}
-		w, ticket := p.chooser.Best(t, p.Ordered, chooser.Plan{}, p.Now)
+		w, ticket := p.chooser.Best(t, candidates, chooser.Plan{}, p.Now)
 		if w == nil {
 			if s.Spec.LongRunning {
 				p.reserve(t)
@@ -93,11 +109,12 @@
 	var planned []placement
 	var plan chooser.Plan
 	number := int64(0)
+	candidates := p.candidates(s)
 	for _, t := range s.Tasks {
 		if !t.IsWaiting(p.Now) {
 			return
 		}
-		w, ticket := p.chooser.Best(t, p.Ordered, plan, p.Now)
+		w, ticket := p.chooser.Best(t, candidates, plan, p.Now)
 		if w == nil {
 			p.askAdvice(s)
 			return
