Ask the holder whether it lives, replace it sooner, and read its log less often

Cause: a dead holder was replaced after 1.6 s without a beat in the log, and every host read the claims some nine times a second, for its beats and for the ends of jobs: most of the calls to the store, which are priced.

Change: hosts ask the holder four times a second whether it holds. One that does not answer is replaced once a beat is missing as well (0.7 s), one that answers is left 3 s, in which a slow store's appends arrive. Claims are read each 0.6 s and whenever there is doubt; a host asks the holder about jobs that have not ended. Connections between hosts on which a call times out and nothing was heard are dialled anew, since they may have gone silent for good; Close ends accepted ones.

--- a/internal/entry/elector/elector.go
+++ b/internal/entry/elector/elector.go
@@ -1,6 +1,6 @@
 // Package elector decides when a host claims the cell: when there is no holder, when the
 // holder left or ended, and when it has fallen silent in a log that could be read all the
-// while. Large hosts claim before small ones, and those near the store before the others.
+// while: sooner where it does not answer its peers either, later where it does. Large hosts claim before small ones, and those near the store before the others.
 //
 // # Usage
 //
@@ -22,6 +22,16 @@
 	// holderSilence is when a holder that is not heard in the log is replaced: several beats
 	// and a slow append fit in.
 	holderSilence = 1600 * time.Millisecond
+	// vouchedSilence is when a holder is replaced that answers its peers: its appends don't
+	// arrive, so it is cut off from the store, or the store is slow.
+	vouchedSilence = 3 * time.Second
+	// vouchedFor is how long a holder's answer to this host counts.
+	vouchedFor = 900 * time.Millisecond
+	// doubtedSilence is when a holder is replaced that does not answer its peers: one beat is
+	// missing as well.
+	doubtedSilence = 700 * time.Millisecond
+	// doubtTime is how long it has not answered by then: two questions.
+	doubtTime = 300 * time.Millisecond
 	// delayWeight makes hosts near the store claim first.
 	delayWeight = 4
 	// maxRankDelay bounds the handicap of hosts far from the store.
@@ -46,6 +56,11 @@
 	FailedAt time.Time
 	// BeatAt is when the holder was last heard.
 	BeatAt time.Time
+	// HeldAt is when the holder last told this host that it holds; zero where it was not asked.
+	HeldAt time.Time
+	// UnansweredSince is when the questions to the holder that have no answer since began; zero
+	// where the last one was answered.
+	UnansweredSince time.Time
 	// IsSmall reports that a considerably larger host is known.
 	IsSmall bool
 	// StoreDelay is how long the store took for a call.
@@ -73,12 +88,23 @@
 		return epoch, "the holder was a former life of this host"
 	case v.Claim.Released && quiet > 0:
 		return epoch, "the holder left"
-	case quiet > holderSilence:
+	case quiet > silence(v, now):
 		return epoch, "the holder is silent"
 	}
 	return 0, ""
 }
 
+// silence returns for how long the log may lack the holder's beats.
+func silence(v View, now time.Time) time.Duration {
+	switch {
+	case !v.UnansweredSince.IsZero() && now.Sub(v.UnansweredSince) > doubtTime:
+		return doubtedSilence
+	case !v.HeldAt.IsZero() && now.Sub(v.HeldAt) < vouchedFor:
+		return vouchedSilence
+	}
+	return holderSilence
+}
+
 // rankDelay is a host's handicap.
 func rankDelay(v View) time.Duration {
 	spread := time.Duration(xxhash.Sum64String(v.Self) % uint64(rankSpread))
--- a/internal/entry/elector/elector_test.go
+++ b/internal/entry/elector/elector_test.go
@@ -40,6 +40,21 @@
 		{"a claim under way is waited for", func(v *elector.View) {
 			v.BeatAt, v.TriedEpoch, v.TriedAt = ago(9*time.Second), 5, ago(100*time.Millisecond)
 		}, 0},
+		{"a silent holder that answers its peers is left some more time", func(v *elector.View) {
+			v.BeatAt, v.HeldAt = ago(2500*time.Millisecond), ago(300*time.Millisecond)
+		}, 0},
+		{"but not for long: it can't reach the store", func(v *elector.View) {
+			v.BeatAt, v.HeldAt = ago(3500*time.Millisecond), ago(300*time.Millisecond)
+		}, 5},
+		{"a holder that does not answer its peers is replaced once a beat is missing", func(v *elector.View) {
+			v.BeatAt, v.UnansweredSince = ago(900*time.Millisecond), ago(400*time.Millisecond)
+		}, 5},
+		{"while its beats come it stays", func(v *elector.View) {
+			v.BeatAt, v.UnansweredSince = ago(300*time.Millisecond), ago(9*time.Second)
+		}, 0},
+		{"one question without an answer proves nothing", func(v *elector.View) {
+			v.BeatAt, v.UnansweredSince = ago(900*time.Millisecond), ago(100*time.Millisecond)
+		}, 0},
 		{"a small host leaves it to larger ones for a while", func(v *elector.View) {
 			v.BeatAt, v.IsSmall = ago(2*time.Second), true
 		}, 0},
--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -47,6 +47,8 @@
 	// Relist is how often all is read again; 0 means never.
 	Relist time.Duration
 
+	// Wake, where not nil, ends a pause early.
+	Wake <-chan struct{}
 	// isDown reports that the last read failed.
 	isDown bool
 }
@@ -89,13 +91,26 @@
 			from = entries[len(entries)-1].Offset + 1
 		}
 		f.Apply(entries)
-		if wait := f.Pause(); wait > 0 {
-			pauser.Pause(ctx, f.Clock, wait)
-		}
+		f.pause(ctx)
 	}
 	return ctx.Err()
 }
 
+// pause waits until the next read is due, or Wake says so.
+func (f *Follower) pause(ctx context.Context) {
+	wait := f.Pause()
+	if wait <= 0 {
+		return
+	}
+	timer := f.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-f.Wake:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Follower) fail(err error) {
 	if !f.isDown {
 		f.Logger.Warn("store: The topic can't be read.", zap.Stringer("topic", f.Topic), zap.String("error", err.Error()))
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -25,8 +25,12 @@
 	// keepKind and statusKind name the calls.
 	keepKind   = "keep"
 	statusKind = "status"
+	glanceKind = "glance"
 	// maxPeers bounds the peers that are tried for a call.
 	maxPeers = 3
+	// holderTimeout bounds a question about a job to the holder, which the host's own view can
+	// answer nearly as well.
+	holderTimeout = 300 * time.Millisecond
 	// callTimeout bounds a call to one peer.
 	callTimeout = 800 * time.Millisecond
 	// gatherTimeout bounds a call to the holder, which gathers the records of all hosts: two
@@ -70,6 +74,8 @@
 	Keep func(ctx context.Context, record journaler.Record) error
 	// Status answers for a job without the help of peers.
 	Status func(ctx context.Context, id describer.JobID) Answer
+	// Glance answers for a job at once, from what this host knows.
+	Glance func(id describer.JobID) Answer
 }
 
 // Forwarder calls peers and serves their calls.
@@ -83,6 +89,7 @@
 	if options.Messenger != nil {
 		messenger.Handle(options.Messenger, keepKind, f.keepForPeer)
 		messenger.Handle(options.Messenger, statusKind, f.statusForPeer)
+		messenger.Handle(options.Messenger, glanceKind, f.glanceForPeer)
 	}
 	return f
 }
@@ -174,6 +181,22 @@
 	return errors.Errorf("keep through peers: %w", storer.ErrRefused)
 }
 
+// AskHolder has the holder answer for a job. A denial does not count: the holder may not have
+// read of the job yet.
+func (f *Forwarder) AskHolder(ctx context.Context, id describer.JobID) Answer {
+	holder, found := f.holder()
+	if !found {
+		return Answer{IsOpen: true}
+	}
+	asking, cancel := context.WithTimeout(ctx, holderTimeout)
+	defer cancel()
+	answer, err := messenger.Call[describer.JobID, Answer](asking, f.options.Messenger, holder, glanceKind, id)
+	if err != nil || answer.IsDenied {
+		return Answer{IsOpen: true}
+	}
+	return answer
+}
+
 // Status has peers answer for a job, until one knows.
 func (f *Forwarder) Status(ctx context.Context, id describer.JobID) Answer {
 	for _, peer := range f.peers() {
@@ -206,3 +229,7 @@
 func (f *Forwarder) statusForPeer(ctx context.Context, _ messenger.Hello, id describer.JobID) (Answer, error) {
 	return f.options.Status(ctx, id), nil
 }
+
+func (f *Forwarder) glanceForPeer(_ context.Context, _ messenger.Hello, id describer.JobID) (Answer, error) {
+	return f.options.Glance(id), nil
+}
--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/elector"
+	"lentilrock.example/internal/entry/prober"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/entry/yielder"
 	"lentilrock.example/internal/fleet/journaler"
@@ -52,10 +53,14 @@
 	if isNew := k.state.Claim.Epoch == 0; isNew && !k.isAnnounced(now) {
 		return 0, ""
 	}
+	probed := k.prober.View()
+	if probed.Epoch != k.state.Claim.Epoch {
+		probed = prober.View{}
+	}
 	return elector.Decide(elector.View{
 		Self: k.options.Name, Incarnation: k.options.Incarnation, Claim: k.state.Claim,
 		ReadAt: k.claimsAt, FailedAt: k.failedAt, BeatAt: k.beatAt, StoreDelay: k.announcer.StoreDelay(), IsSmall: k.isSmall(),
-		TriedEpoch: k.triedEpoch, TriedAt: k.triedAt,
+		HeldAt: probed.AnsweredAt, UnansweredSince: probed.FailingSince, TriedEpoch: k.triedEpoch, TriedAt: k.triedAt,
 	}, now)
 }
 
@@ -98,6 +103,7 @@
 		k.triedEpoch, k.triedAt = epoch, k.now()
 		k.mu.Unlock()
 	}
+	k.readClaims()
 	k.options.Logger.Info("claim: Claimed.", zap.Int64("epoch", epoch), zap.String("reason", reason), zap.String("outcome", outcome))
 }
 
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -14,9 +14,10 @@
 
 const (
 	// jobsPause separates the reads of the jobs by hosts that only answer for them.
-	jobsPause = 400 * time.Millisecond
-	// claimsPause bounds how late a host knows that a job has ended.
-	claimsPause = 100 * time.Millisecond
+	jobsPause = 700 * time.Millisecond
+	// claimsPause separates the reads of the claims by hosts that ask the holder about jobs that
+	// have not ended.
+	claimsPause = 600 * time.Millisecond
 	// holderClaimsPause is that of the holder, which wrote the records itself.
 	holderClaimsPause = 250 * time.Millisecond
 	// operatorsPause gathers configurations that come in quick succession.
@@ -32,7 +33,7 @@
 func (k *Keeper) followers() []*follower.Follower {
 	followers := []*follower.Follower{
 		{Topic: storer.Jobs, Reset: k.applyJobs, Apply: k.applyJobs, Pause: k.pause(0, jobsPause)},
-		{Topic: storer.Claims, Reset: k.applyClaims, Apply: k.applyClaims, Failed: k.claimsFailed, Pause: k.pause(holderClaimsPause, claimsPause)},
+		{Topic: storer.Claims, Reset: k.applyClaims, Apply: k.applyClaims, Failed: k.claimsFailed, Pause: k.pause(holderClaimsPause, claimsPause), Wake: k.wakeClaims},
 		{Topic: storer.Operators, Reset: k.applyOperators, Apply: k.applyOperators, Pause: k.pause(operatorsPause, operatorsPause)},
 		{Topic: storer.Workers, Reset: k.resetWorkers, Apply: k.applyWorkers, Pause: k.pause(holderListPause, listPause), Relist: relistEvery},
 	}
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -70,9 +70,34 @@
 
 // otherHolder returns the host that holds the cell; false where that is this host or nobody.
 func (k *Keeper) otherHolder() (journaler.Host, bool) {
+	h, _, found := k.otherClaim()
+	return h, found
+}
+
+// otherClaim returns the host that holds the cell with the epoch of its claim; false where
+// that is this host or nobody.
+func (k *Keeper) otherClaim() (journaler.Host, int64, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	claim := k.state.Claim
 	h, found := k.state.Hosts[claim.Host]
-	return h, found && !claim.Released && claim.Host != k.options.Name
+	return h, claim.Epoch, found && !claim.Released && claim.Host != k.options.Name
+}
+
+// heldEpoch returns the epoch of the claim that this host holds; 0 where it holds none.
+func (k *Keeper) heldEpoch() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.holder == nil {
+		return 0
+	}
+	return k.holder.Epoch()
+}
+
+// readClaims has the claims read at once.
+func (k *Keeper) readClaims() {
+	select {
+	case k.wakeClaims <- struct{}{}:
+	default:
+	}
 }
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -25,8 +25,10 @@
 
 	"lentilrock.example/internal/entry/announcer"
 	"lentilrock.example/internal/entry/asker"
+	"lentilrock.example/internal/entry/deliverer"
 	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/holder"
+	"lentilrock.example/internal/entry/prober"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/entry/submitter"
 	"lentilrock.example/internal/entry/yielder"
@@ -77,9 +79,13 @@
 	options   Options
 	submitter *submitter.Submitter
 	forwarder *forwarder.Forwarder
+	deliverer *deliverer.Deliverer
 	announcer *announcer.Announcer
 	asker     *asker.Asker
-	yielder   *yielder.Yielder
+	prober    *prober.Prober
+	// wakeClaims has the claims read at once.
+	wakeClaims chan struct{}
+	yielder    *yielder.Yielder
 
 	mu     sync.Mutex
 	state  *journaler.State
@@ -105,9 +111,7 @@
 	// triedEpoch is the highest that this host tried to claim.
 	triedEpoch int64
 	triedAt    time.Time
-	// gatherAt is when the holder may be asked again to keep records.
-	gatherAt time.Time
-	leaving  bool
+	leaving    bool
 }
 
 // New returns a keeper that knows nothing yet.
@@ -118,14 +122,14 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
-	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), waves: make(map[int64]describer.Wave), heardTo: -1}
+	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), waves: make(map[int64]describer.Wave), wakeClaims: make(chan struct{}, 1), heardTo: -1}
 	k.submitter = submitter.New(submitter.Options{
 		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
 		HasAlternative: func() bool { return k.forwarder.HasHolder() },
 	})
 	k.forwarder = forwarder.New(forwarder.Options{
 		Self: options.Name, DataCentre: options.DataCentre, Messenger: options.Messenger, Hosts: k.hosts, Holder: k.otherHolder,
-		Keep: k.submitter.Keep, Status: k.statusHere,
+		Keep: k.submitter.Keep, Status: k.statusHere, Glance: k.glance,
 	})
 	k.announcer = announcer.New(announcer.Options{
 		Self: journaler.Host{
@@ -138,6 +142,13 @@
 		Self: options.Name, DataCentre: options.DataCentre, Advisor: options.Advisor,
 		Messenger: options.Messenger, Hosts: k.hosts, Clock: options.Clock,
 	})
+	k.prober = prober.New(prober.Options{
+		Messenger: options.Messenger, Clock: options.Clock, Holder: k.otherClaim, Held: k.heldEpoch, Doubt: k.readClaims,
+		Hosts: func() int { return len(k.hosts()) },
+	})
+	k.deliverer = deliverer.New(deliverer.Options{
+		Submitter: k.submitter, Forwarder: k.forwarder, View: k.prober.View, Clock: options.Clock, IsStoreDown: k.isStoreDown,
+	})
 	k.yielder = yielder.New(yielder.Options{
 		Self: options.Name, Cores: options.Cores, Messenger: options.Messenger, Hosts: k.hosts, IsReady: k.IsReady,
 	})
@@ -153,6 +164,7 @@
 	}
 	duties.Go(func() { k.announcer.Run(ctx) })
 	duties.Go(func() { k.elect(ctx) })
+	duties.Go(func() { k.prober.Run(ctx) })
 	duties.Go(func() { k.yield(ctx) })
 	duties.Wait()
 	k.mu.Lock()
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,13 +16,6 @@
 const (
 	// viewAge is how old the view of the log may be to deny a job.
 	viewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
-	// quietHolder is when a holder that was not heard is not asked to keep records: two beats
-	// and a read of the log fit in.
-	quietHolder = 1200 * time.Millisecond
-	// gatherPause keeps records away from a holder that did not answer.
-	gatherPause = 2 * time.Second
-	// keepTimeout is when a record is handed to a peer that this host could not keep.
-	keepTimeout = 1100 * time.Millisecond
 	// silentStore is when a store that answers nothing counts as down: reads wait a second.
 	silentStore = follower.ReadWait + 900*time.Millisecond
 	// failingStore is when a store counts as down whose answers are errors.
@@ -47,7 +39,7 @@
 	if err != nil {
 		return errors.Errorf("submit job %s: %w", job.ID, err)
 	}
-	return k.keep(ctx, record)
+	return k.deliverer.Keep(ctx, record)
 }
 
 // Cancel ends a job for good. Errors wrap ErrNoJob or those of Submit.
@@ -63,27 +55,30 @@
 	if err != nil {
 		return errors.Errorf("cancel job %s: %w", id, err)
 	}
-	return k.keep(ctx, record)
+	return k.deliverer.Keep(ctx, record)
 }
 
-// Status returns a job's state. Errors wrap ErrNoJob or storer.ErrNotKnown.
+// Status returns a job's state. Errors wrap ErrNoJob or storer.ErrNotKnown. Of a job that has
+// not ended as far as this host knows, the holder knows more.
 func (k *Keeper) Status(ctx context.Context, id describer.JobID) (describer.JobState, error) {
 	k.mu.Lock()
 	entry, found := k.state.Jobs[id]
 	isKnown := found && entry.Job != nil
-	isFresh := k.now().Sub(k.claimsAt) < viewAge
+	isFresh := k.now().Sub(k.jobsAt) < viewAge
 	var state describer.JobState
 	if isKnown {
 		state = entry.JobState()
 	}
 	k.mu.Unlock()
-	if isKnown && (isFresh || state.IsFinal()) {
+	if isKnown && state.IsFinal() {
 		return state, nil
 	}
-	var answer forwarder.Answer
-	if isFresh {
+	answer := k.forwarder.AskHolder(ctx, id)
+	switch {
+	case !answer.IsOpen:
+	case isFresh:
 		answer = k.statusHere(ctx, id)
-	} else {
+	default:
 		answer = k.forwarder.Status(ctx, id)
 	}
 	switch {
@@ -98,6 +93,17 @@
 	return 0, errors.Errorf("status of job %s: %w", id, storer.ErrNotKnown)
 }
 
+// glance answers for a job at once, from what this host knows.
+func (k *Keeper) glance(id describer.JobID) forwarder.Answer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	entry, found := k.state.Jobs[id]
+	if !found || entry.Job == nil {
+		return forwarder.Answer{IsOpen: true}
+	}
+	return forwarder.Answer{State: entry.JobState()}
+}
+
 // statusHere answers for a job from this host's view.
 func (k *Keeper) statusHere(ctx context.Context, id describer.JobID) forwarder.Answer {
 	entry, err := k.find(ctx, id)
@@ -110,70 +116,6 @@
 	return forwarder.Answer{State: entry.JobState()}
 }
 
-// keep keeps a record: through the holder, so that a slow store gets few appends and the
-// holder knows of the job at once, else here, else through other peers.
-func (k *Keeper) keep(ctx context.Context, record journaler.Record) error {
-	isHere := !k.isStoreDown()
-	switch {
-	case k.isHolderQuiet() && isHere:
-		return tryInTurn(ctx, record, k.keepHere, k.gather, k.forwarder.Keep)
-	case isHere:
-		return tryInTurn(ctx, record, k.gather, k.keepHere, k.forwarder.Keep)
-	}
-	return tryInTurn(ctx, record, k.gather, k.forwarder.Keep)
-}
-
-// isHolderQuiet reports whether the holder may be gone, or did not answer a while ago.
-func (k *Keeper) isHolderQuiet() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.now()
-	return now.Sub(k.beatAt) > quietHolder || now.Before(k.gatherAt)
-}
-
-// tryInTurn keeps a record in the first way that does it. An outcome that one way left open
-// is not called a refusal.
-func tryInTurn(ctx context.Context, record journaler.Record, ways ...func(context.Context, journaler.Record) error) error {
-	isOpen := false
-	var err error
-	for _, way := range ways {
-		if err = way(ctx, record); err == nil {
-			return nil
-		}
-		isOpen = isOpen || errors.Is(err, storer.ErrNotKnown)
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if isOpen {
-		return errors.Errorf("keep record %s: %w", record.Key, storer.ErrNotKnown)
-	}
-	return err
-}
-
-// gather has the holder keep a record. A holder that does not answer is left alone for a
-// while.
-func (k *Keeper) gather(ctx context.Context, record journaler.Record) error {
-	err := k.forwarder.Gather(ctx, record)
-	if errors.Is(err, storer.ErrNotKnown) {
-		k.mu.Lock()
-		k.gatherAt = k.now().Add(gatherPause)
-		k.mu.Unlock()
-	}
-	return err
-}
-
-// keepHere keeps a record without the help of peers. The holder is where the others would go,
-// so it waits as long as the caller does.
-func (k *Keeper) keepHere(ctx context.Context, record journaler.Record) error {
-	if k.forwarder.HasHolder() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, keepTimeout)
-		defer cancel()
-	}
-	return k.submitter.Keep(ctx, record)
-}
-
 // isStoreDown reports whether the store has not answered for a while.
 func (k *Keeper) isStoreDown() bool {
 	k.mu.Lock()
@@ -235,14 +177,9 @@
 	if !k.knowsCell() {
 		return describer.Queue{}, "", ErrNotReady
 	}
-	var best describer.Queue
-	for _, q := range k.config.Queues {
-		if q.Host == host && strings.HasPrefix(path, q.Prefix) && len(q.Prefix) > len(best.Prefix) {
-			best = q
-		}
-	}
-	if best.Prefix == "" {
-		return best, "", ErrNoJob
+	queue, rest, found := k.config.Route(host, path)
+	if !found {
+		return queue, "", ErrNoJob
 	}
-	return best, path[len(best.Prefix):], nil
+	return queue, rest, nil
 }
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -174,6 +174,18 @@
 	MaxBody int64
 }
 
+// Route returns the queue of a call, that of its host with the longest prefix of its path,
+// and the rest of the path.
+func (c Config) Route(host, path string) (Queue, string, bool) {
+	var best Queue
+	for _, q := range c.Queues {
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && len(q.Prefix) > len(best.Prefix) {
+			best = q
+		}
+	}
+	return best, path[len(best.Prefix):], best.Prefix != ""
+}
+
 // Worker is what a worker says of itself in the host list.
 type Worker struct {
 	ID         string
--- a/internal/peer/messenger/connection.go
+++ b/internal/peer/messenger/connection.go
@@ -5,12 +5,17 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 )
 
+// silentTime is how long a call waits at least before a connection on which nothing is heard
+// counts as silent: several round trips between regions.
+const silentTime = 250 * time.Millisecond
+
 // connection is a connection to or from a peer; both sides may call.
 type connection struct {
 	messenger *Messenger
@@ -24,6 +29,8 @@
 	nextRef uint64
 	waiting map[uint64]chan frame
 	failure error
+	// heardAt is when the last frame came.
+	heardAt time.Time
 	done    context.Context
 	cancel  context.CancelFunc
 }
@@ -85,6 +92,7 @@
 }
 
 func (c *connection) call(ctx context.Context, kind string, body cbor.RawMessage) (cbor.RawMessage, error) {
+	began := c.messenger.options.Clock.Now()
 	reply := make(chan frame, 1)
 	ref, err := c.expect(reply)
 	if err != nil {
@@ -103,10 +111,23 @@
 	case <-c.done.Done():
 		return nil, errors.Mark(errors.New("connection ended"), ErrLost)
 	case <-ctx.Done():
+		c.dropIfSilent(began)
 		return nil, errors.Mark(ctx.Err(), ErrLost)
 	}
 }
 
+// dropIfSilent ends a connection on which nothing was heard since a call began that timed
+// out: it may have gone silent for good, while a new one would work.
+func (c *connection) dropIfSilent(began time.Time) {
+	now := c.messenger.options.Clock.Now()
+	c.mu.Lock()
+	isSilent := c.heardAt.Before(began) && now.Sub(began) >= silentTime
+	c.mu.Unlock()
+	if isSilent {
+		c.fail(errors.Mark(errors.New("the connection is silent"), ErrLost))
+	}
+}
+
 func (c *connection) expect(reply chan frame) (uint64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,6 +170,9 @@
 			return
 		}
 		c.messenger.countReceived(len(data))
+		c.mu.Lock()
+		c.heardAt = c.messenger.options.Clock.Now()
+		c.mu.Unlock()
 		if !limiter.AllowN(c.messenger.options.Clock.Now(), 1) {
 			c.cut(errors.New("peer sends too many frames"))
 			return
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -45,6 +45,8 @@
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*connection
+	// accepted are the connections that peers dialled.
+	accepted map[*connection]bool
 	// BytesSent and the like are counted per messenger.
 	counts Counts
 }
@@ -74,6 +76,7 @@
 		options:  options,
 		handlers: make(map[string]handler),
 		peers:    make(map[netip.AddrPort]*connection),
+		accepted: make(map[*connection]bool),
 		counts:   Counts{ByDataCentre: make(map[string]uint64)},
 	}
 }
@@ -204,7 +207,13 @@
 		_ = socket.CloseNow()
 		return
 	}
+	m.mu.Lock()
+	m.accepted[c] = true
+	m.mu.Unlock()
 	c.read()
+	m.mu.Lock()
+	delete(m.accepted, c)
+	m.mu.Unlock()
 }
 
 // Close ends all connections.
@@ -212,8 +221,15 @@
 	m.mu.Lock()
 	peers := m.peers
 	m.peers = make(map[netip.AddrPort]*connection)
-	m.mu.Unlock()
+	connections := make([]*connection, 0, len(peers)+len(m.accepted))
 	for _, c := range peers {
+		connections = append(connections, c)
+	}
+	for c := range m.accepted {
+		connections = append(connections, c)
+	}
+	m.mu.Unlock()
+	for _, c := range connections {
 		c.fail(errors.Mark(errors.New("messenger was closed"), ErrLost))
 	}
 }
--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,3 +97,35 @@
 		})
 	}
 }
+
+// TestSilentConnection has a peer that stops answering on its open connections, as a network
+// may do that keeps them open.
+func TestSilentConnection(t *testing.T) {
+	var isSilent atomic.Bool
+	m := New(Options{Self: Hello{DataCentre: "a"}})
+	defer m.Close()
+	Handle(m, "echo", func(ctx context.Context, _ Hello, q question) (question, error) {
+		if isSilent.Load() {
+			<-ctx.Done()
+		}
+		return q, nil
+	})
+	server := httptest.NewServer(m)
+	defer server.Close()
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	client := New(Options{Self: Hello{DataCentre: "b"}})
+	defer client.Close()
+	call := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		_, err := Call[question, question](ctx, client, address, "echo", question{"hello"})
+		return err
+	}
+	require.NoError(t, call(time.Minute))
+	former := client.peers[address]
+	isSilent.Store(true)
+	require.True(t, errors.Is(call(2*silentTime), ErrLost))
+	isSilent.Store(false)
+	require.Eventually(t, func() bool { return call(time.Minute) == nil }, time.Minute, time.Millisecond)
+	require.NotSame(t, former, client.peers[address], "the next call dials anew")
+}
