Replace a holder that the store refuses alone, and refuse at once what a silent store can't keep

It answered its peers, so it was left 3 s, and what callers handed in went to it first. In the 2 s without any answer of the store, callers waited until their deadline.

Change: a holder whose appends are refused for 0.4 s, or not answered for 1.2 s, no longer says that it holds. A store that has answered no append for 1.3 s while one is under way gets no new ones: what was never sent is refused at once.

--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,6 +48,11 @@
 	endPause = 45 * time.Millisecond
 	// lookSlack is how much longer than its wait a look may take.
 	lookSlack = 600 * time.Millisecond
+	// canKeepFor is how long an append vouches for the holder's way to the store: one at a slow
+	// store, and the pause before it, fit in.
+	canKeepFor = 1200 * time.Millisecond
+	// refusedFor is how long the store may refuse the holder before another host should try.
+	refusedFor = 400 * time.Millisecond
 	// forgetEvery is how often the records of jobs that ended long ago are removed.
 	forgetEvery = 5 * time.Second
 	// machinesEvery is how often the machines are listed while a wave of upkeep is open.
@@ -103,19 +109,49 @@
 	// lookers are the workers that a goroutine looks after; With guards them.
 	lookers map[string]bool
 	saved   chan struct{}
+
+	mu sync.Mutex
+	// keptAt is when the newest append was answered; refusedSince when the store began to
+	// refuse those after it, zero where it does not.
+	keptAt       time.Time
+	refusedSince time.Time
 }
 
 // New returns a holder that does nothing yet.
 func New(options Options) *Holder {
 	return &Holder{
 		options: options, wake: make(chan struct{}, 1), saveWake: make(chan struct{}, 1),
-		lookers: make(map[string]bool), saved: make(chan struct{}),
+		lookers: make(map[string]bool), keptAt: options.Clock.Now(),
+		saved: make(chan struct{}),
 	}
 }
 
 // Epoch returns that of the claim.
 func (h *Holder) Epoch() int64 { return h.options.Epoch }
 
+// CanKeep reports whether the store takes this holder's appends, as far as it knows. A holder
+// that the store refuses alone should be replaced.
+func (h *Holder) CanKeep() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Clock.Now()
+	isRefused := !h.refusedSince.IsZero() && now.Sub(h.refusedSince) > refusedFor
+	return !isRefused && now.Sub(h.keptAt) < canKeepFor
+}
+
+// noteAppend takes in the outcome of an append.
+func (h *Holder) noteAppend(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Clock.Now()
+	switch {
+	case err == nil:
+		h.keptAt, h.refusedSince = now, time.Time{}
+	case errors.Is(err, storer.ErrRefused) && h.refusedSince.IsZero():
+		h.refusedSince = now
+	}
+}
+
 // Run begins the holder's duties, which end with ctx or Cancel.
 func (h *Holder) Run(ctx context.Context) {
 	ctx, h.cancel = context.WithCancel(ctx)
@@ -335,6 +371,7 @@
 		appending, cancel := context.WithTimeout(ctx, saveTimeout)
 		offset, err := h.options.Store.Append(appending, call)
 		cancel()
+		h.noteAppend(err)
 		switch {
 		case err == nil:
 			return offset, true
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -84,14 +84,16 @@
 	return h, claim.Epoch, found && !claim.Released && claim.Host != k.options.Name
 }
 
-// heldEpoch returns the epoch of the claim that this host holds; 0 where it holds none.
+// heldEpoch returns the epoch of the claim that this host holds and can keep records under; 0
+// where there is none.
 func (k *Keeper) heldEpoch() int64 {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.holder == nil {
+	h := k.holder
+	k.mu.Unlock()
+	if h == nil || !h.CanKeep() {
 		return 0
 	}
-	return k.holder.Epoch()
+	return h.Epoch()
 }
 
 // readClaims has the claims read at once.
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -219,11 +219,7 @@
 	if k.isReady() {
 		counts.Ready = 1
 	}
-	for _, e := range k.state.Jobs {
-		if e.Job != nil && e.JobState() == describer.JobQueued {
-			counts.Pending++
-		}
-	}
+	counts.Pending = k.state.Pending("")
 	return counts
 }
 
--- a/internal/entry/keeper/keeper_test.go
+++ b/internal/entry/keeper/keeper_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,6 +57,19 @@
 	return orderer.Advice{}, errors.New("there is no advice here")
 }
 
+// gate is a host's way to the store, which may refuse that host alone.
+type gate struct {
+	storer.Store
+	isShut atomic.Bool
+}
+
+func (g *gate) Append(ctx context.Context, call storer.Append) (int64, error) {
+	if g.isShut.Load() {
+		return 0, errors.Errorf("append: %w", storer.ErrRefused)
+	}
+	return g.Store.Append(ctx, call)
+}
+
 // cell is some hosts with one store and one fleet, in a synctest bubble.
 type cell struct {
 	t       *testing.T
@@ -64,6 +78,8 @@
 	fleet   *fencer.Fleet
 	hosts   []*keeper.Keeper
 	ends    []context.CancelFunc
+	// gates are the hosts' ways to the store.
+	gates []*gate
 	// cores is the size of the hosts that start.
 	cores float64
 }
@@ -97,8 +113,10 @@
 
 func (c *cell) start(name, incarnation string) {
 	address, peers := c.network.add(name, incarnation)
+	way := &gate{Store: c.store}
+	c.gates = append(c.gates, way)
 	k := keeper.New(keeper.Options{
-		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, PeerAddress: address, Messenger: peers, Store: c.store, Decoder: decoder{},
+		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, PeerAddress: address, Messenger: peers, Store: way, Decoder: decoder{},
 		Workers: c.fleet, Advisor: noAdvice{}, Clock: clockwork.NewRealClock(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -279,6 +297,24 @@
 	})
 }
 
+func TestHolderIsRefusedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		defer c.end()
+		former := c.holder()
+		c.gates[former].isShut.Store(true)
+		time.Sleep(2200 * time.Millisecond)
+		next := c.holder()
+		require.NotEqual(t, former, next, "a holder that the store refuses is replaced")
+		require.GreaterOrEqual(t, next, 0)
+		began := time.Now()
+		require.NoError(t, c.submit(former, "a", 4))
+		require.Less(t, time.Since(began), time.Second, "others keep what the store refuses here")
+		time.Sleep(2 * time.Second)
+		c.requireCompleted("a")
+	})
+}
+
 func TestAllHostsDie(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 3)
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -160,13 +160,7 @@
 func (k *Keeper) Pending(queue string) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	count := 0
-	for _, e := range k.state.Jobs {
-		if e.Job != nil && e.Job.Queue.Name == queue && !e.Cancelled && !e.Progress.Begun && e.Progress.Outcome == journaler.OutcomeNone {
-			count++
-		}
-	}
-	return count
+	return k.state.Pending(queue)
 }
 
 // Route returns the queue of a call: that of its host with the longest prefix of its path,
--- a/internal/entry/submitter/submitter.go
+++ b/internal/entry/submitter/submitter.go
@@ -44,6 +44,9 @@
 	// slowTimeout bounds an append at a slow store: it lets 2 s of appends wait, and repeating
 	// one would add to them.
 	slowTimeout = 2400 * time.Millisecond
+	// silentTime is when a store that answers no append counts as silent: those at a slow store
+	// are answered by then.
+	silentTime = 1300 * time.Millisecond
 	// fastAppend is below what a slow store takes, and above what a far host needs of one
 	// that is well.
 	fastAppend = 250 * time.Millisecond
@@ -74,6 +77,8 @@
 	mu sync.Mutex
 	// underWay are the appends that were not answered yet.
 	underWay map[*call]bool
+	// unansweredSince is when the first append began since the store last answered one.
+	unansweredSince time.Time
 	// isSlow reports that the newest append took long or was not answered.
 	isSlow bool
 	// batches counts those that are not done, of which the newest began at beganAt.
@@ -102,6 +107,15 @@
 	return &Submitter{options: options, ring: buffer.New[*submission](ringSize), underWay: make(map[*call]bool)}
 }
 
+// isSilent reports whether the store has answered nothing for a while, though it was asked:
+// a record that is not sent then is refused at once, and surely never kept.
+func (s *Submitter) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isAsked := len(s.underWay) > 0 && !s.unansweredSince.IsZero()
+	return isAsked && s.options.Clock.Now().Sub(s.unansweredSince) > silentTime
+}
+
 // begin lets one more batch be appended, if that helps: many side by side while the store is
 // fast, few while it is slow, and one now and then while that is open.
 func (s *Submitter) begin() bool {
@@ -140,6 +154,9 @@
 	}
 	ctx, c.cancel = context.WithTimeout(ctx, timeout)
 	s.underWay[c] = true
+	if s.unansweredSince.IsZero() {
+		s.unansweredSince = c.began
+	}
 	s.mu.Unlock()
 	defer c.cancel()
 	offset, err := s.options.Store.Append(ctx, storer.Append{Topic: storer.Jobs, Records: records})
@@ -147,6 +164,9 @@
 	defer s.mu.Unlock()
 	delete(s.underWay, c)
 	now := s.options.Clock.Now()
+	if !errors.Is(err, storer.ErrNotKnown) {
+		s.unansweredSince = time.Time{}
+	}
 	isFast := now.Sub(c.began) <= fastAppend
 	switch {
 	case err == nil:
@@ -206,6 +226,9 @@
 // Keep appends a record and waits until it is kept. Errors wrap storer.ErrRefused, after
 // which the record is never kept, or storer.ErrNotKnown.
 func (s *Submitter) Keep(ctx context.Context, record journaler.Record) error {
+	if s.isSilent() {
+		return errors.Errorf("the store answers nothing: %w", storer.ErrRefused)
+	}
 	waiting := &submission{ctx: ctx, record: record, reply: make(chan error, 1)}
 	if !s.ring.Offer(waiting) {
 		return errors.Errorf("too many submissions wait: %w", storer.ErrRefused)
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -252,6 +252,17 @@
 	return found && entry.Job != nil
 }
 
+// Pending counts the jobs of a queue of which nothing has begun; an empty name counts all.
+func (s *State) Pending(queue string) int {
+	count := 0
+	for _, e := range s.Jobs {
+		if e.Job != nil && (queue == "" || e.Job.Queue.Name == queue) && e.JobState() == describer.JobQueued {
+			count++
+		}
+	}
+	return count
+}
+
 // Apply folds a record into the state and returns the entry of the job that it changed, if
 // any. An error means that the record can't be read; the state is unchanged.
 func (s *State) Apply(r Record, offset int64) (*Entry, error) {
