Answer operators' commands on the users' platform: show, why, cancel, drain, audit

lentilrock kept its query and command language only on `serve`; on the users' platform operators had logs alone. Any host passes commands to the holder. A drained worker gets nothing new, its lasting tasks move as far as their step may miss them. Drains and operators' cancels are in the log, with who and when.

What needs the operators of the platform (configuration, submissions without a queue) is answered with a clear error.

Packages: query/teller (statements), entry/chronicler (bounded lines about each job), entry/cataloger (what operators and workers write, split off the keeper).

--- /dev/null
+++ b/internal/entry/cataloger/cataloger_test.go
@@ -0,0 +1,65 @@
+package cataloger_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"lentilrock.example/internal/entry/cataloger"
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
+)
+
+// decoder reads a version, a wave or a worker's service out of an entry; "bad" can't be read.
+type decoder struct{}
+
+func fault(value []byte) error {
+	if string(value) == "bad" {
+		return errors.New("bad")
+	}
+	return nil
+}
+
+func (decoder) Config(key string, value []byte) (describer.Config, bool, error) {
+	return describer.Config{Version: int64(len(value))}, key == "config", fault(value)
+}
+
+func (decoder) Wave(key string, value []byte) (describer.Wave, bool, error) {
+	return describer.Wave{Number: 1, MaxDown: len(value)}, strings.HasPrefix(key, "wave/"), fault(value)
+}
+
+func (decoder) Worker(id string, value []byte) (describer.Worker, error) {
+	return describer.Worker{ID: id, Service: string(value)}, fault(value)
+}
+
+func entry(key, value string) storer.Entry {
+	return storer.Entry{Record: journaler.Record{Key: key, Value: []byte(value)}}
+}
+
+func TestOperators(t *testing.T) {
+	c := cataloger.New(decoder{}, zap.NewNop())
+	require.True(t, c.TakeOperators([]storer.Entry{entry("config", "12345")}))
+	require.False(t, c.TakeOperators([]storer.Entry{entry("config", "1234"), entry("config", "bad"), entry("other", "1")}))
+	require.Equal(t, int64(5), c.Config.Version, "a configuration never goes back")
+	require.True(t, c.TakeOperators([]storer.Entry{entry("wave/1", "11")}))
+	require.False(t, c.TakeOperators([]storer.Entry{entry("wave/1", "1")}))
+	require.Equal(t, 2, c.Waves[1].MaxDown, "a wave that is known stays as it is")
+}
+
+func TestWorkers(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	c := cataloger.New(decoder{}, zap.NewNop())
+	require.True(t, c.ListedAt.IsZero())
+	c.ResetWorkers([]storer.Entry{entry("a", "x"), entry("b", "bad"), entry("c", "x")}, now)
+	require.Len(t, c.Workers(), 2, "the others hold")
+	c.TakeWorkers([]storer.Entry{entry("a", ""), entry("c", "bad"), entry("d", "x")}, now)
+	require.Equal(t, []describer.Worker{{ID: "d", Service: "x"}}, c.Workers())
+	c.ResetWorkers(nil, now.Add(time.Second))
+	require.Empty(t, c.Workers())
+	require.Equal(t, now.Add(time.Second), c.ListedAt)
+}
--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -47,7 +47,7 @@
 
 // wantsClaim returns the epoch to claim and why, or no reason.
 func (k *Keeper) wantsClaim(now time.Time) (int64, string) {
-	if k.leaving || k.holder != nil || !k.knowsCell() || k.listedAt.IsZero() {
+	if k.leaving || k.holder != nil || !k.knowsCell() || k.catalog.ListedAt.IsZero() {
 		return 0, ""
 	}
 	if isNew := k.state.Claim.Epoch == 0; isNew && !k.isAnnounced(now) {
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -3,12 +3,10 @@
 import (
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/storer"
-	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 )
 
@@ -108,88 +106,39 @@
 func (k *Keeper) applyOperators(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, e := range entries {
-		if err := errors.Join(k.applyConfig(e), k.applyWave(e)); err != nil {
-			k.options.Logger.Warn("config: An entry was ignored.", zap.String("key", e.Key), zap.String("error", err.Error()))
-		}
-	}
-}
-
-// applyConfig takes in a later configuration; the caller has the lock.
-func (k *Keeper) applyConfig(e storer.Entry) error {
-	config, found, err := k.options.Decoder.Config(e.Key, e.Value)
-	if err != nil || !found || config.Version <= k.config.Version {
-		return err
-	}
-	k.config = config
-	k.options.Logger.Info("config: In force.", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)))
-	if k.holder != nil {
-		k.dispatcher.SetConfig(config)
-		k.holder.Kick()
-	}
-	return nil
-}
-
-// applyWave takes in a wave of upkeep; the caller has the lock.
-func (k *Keeper) applyWave(e storer.Entry) error {
-	wave, found, err := k.options.Decoder.Wave(e.Key, e.Value)
-	if _, isKnown := k.waves[wave.Number]; err != nil || !found || isKnown {
-		return err
+	if isNew := k.catalog.TakeOperators(entries); !isNew || k.holder == nil {
+		return
 	}
-	k.waves[wave.Number] = wave
-	k.options.Logger.Info("upkeep: A wave was asked for.", zap.Int64("wave", wave.Number), zap.Int("machines", len(wave.Machines)),
-		zap.Duration("duration", wave.Duration), zap.Int("max_down", wave.MaxDown))
-	if k.holder != nil {
+	k.dispatcher.SetConfig(k.catalog.Config)
+	for _, wave := range k.catalog.Waves {
 		k.dispatcher.SetWave(k.now(), wave)
-		k.holder.Kick()
 	}
-	return nil
+	k.holder.Kick()
 }
 
 func (k *Keeper) resetWorkers(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	// Under one lock with what follows: a host that takes the cell up must not see no workers.
-	clear(k.listed)
-	k.listWorkers(entries)
+	k.catalog.ResetWorkers(entries, k.now())
+	k.workersListed()
 }
 
 func (k *Keeper) applyWorkers(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.listWorkers(entries)
+	k.catalog.TakeWorkers(entries, k.now())
+	k.workersListed()
 }
 
-// listWorkers takes in entries of the host list; the caller has the lock.
-func (k *Keeper) listWorkers(entries []storer.Entry) {
-	for _, e := range entries {
-		if len(e.Value) == 0 {
-			delete(k.listed, e.Key)
-			continue
-		}
-		w, err := k.options.Decoder.Worker(e.Key, e.Value)
-		if err != nil {
-			delete(k.listed, e.Key)
-			k.options.Logger.Warn("workers: An entry was ignored.", zap.String("worker", e.Key), zap.String("error", err.Error()))
-			continue
-		}
-		k.listed[e.Key] = w
-	}
-	k.listedAt = k.now()
+// workersListed tells the dispatcher of the host list; the caller has the lock.
+func (k *Keeper) workersListed() {
 	if k.holder != nil {
-		k.dispatcher.SetWorkers(k.now(), k.workerList())
+		k.dispatcher.SetWorkers(k.now(), k.catalog.Workers())
 		k.holder.Kick()
 	}
 }
 
-func (k *Keeper) workerList() []describer.Worker {
-	list := make([]describer.Worker, 0, len(k.listed))
-	for _, w := range k.listed {
-		list = append(list, w)
-	}
-	return list
-}
-
 // applyOwn takes in a record that this host appended, before it is read back.
 func (k *Keeper) applyOwn(records []journaler.Record, offset int64) {
 	k.mu.Lock()
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -17,10 +17,10 @@
 	options.Epoch, options.Host = claim.Epoch, k.options.Name
 	options.Report = k.report
 	k.dispatcher = dispatcher.New(options, k.state, now)
-	k.dispatcher.SetConfig(k.config)
+	k.dispatcher.SetConfig(k.catalog.Config)
 	k.dispatcher.SetAskers(len(k.liveHosts()))
-	k.dispatcher.SetWorkers(now, k.workerList())
-	for _, wave := range k.waves {
+	k.dispatcher.SetWorkers(now, k.catalog.Workers())
+	for _, wave := range k.catalog.Waves {
 		k.dispatcher.SetWave(now, wave)
 	}
 	k.holder = holder.New(holder.Options{
@@ -28,7 +28,7 @@
 		Logger: k.options.Logger, With: k.with, Fenced: k.resign, Kept: k.applyOwn, Ask: k.asker.Ask,
 	})
 	k.options.Logger.Info("claim: This host holds the cell.", zap.Int64("epoch", claim.Epoch),
-		zap.Int("jobs", len(k.state.Jobs)), zap.Int("workers", len(k.listed)))
+		zap.Int("jobs", len(k.state.Jobs)), zap.Int("workers", len(k.catalog.Workers())))
 	k.holder.Run(context.Background())
 }
 
@@ -46,6 +46,7 @@
 // report writes a line of the dispatcher's into the log.
 func (k *Keeper) report(message string, fields ...any) {
 	k.options.Logger.Sugar().Infow("dispatch: "+message, fields...)
+	k.chronicle.Note(k.now(), message, fields...)
 }
 
 // resign ends what runs under the claim; the caller has the lock.
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -25,6 +25,8 @@
 
 	"lentilrock.example/internal/entry/announcer"
 	"lentilrock.example/internal/entry/asker"
+	"lentilrock.example/internal/entry/cataloger"
+	"lentilrock.example/internal/entry/chronicler"
 	"lentilrock.example/internal/entry/deliverer"
 	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/holder"
@@ -36,6 +38,7 @@
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/peer/messenger"
+	"lentilrock.example/internal/query/teller"
 )
 
 // Errors of the calls of callers.
@@ -46,15 +49,6 @@
 	ErrNoJob = errors.New("there is no such job")
 )
 
-// Decoder reads the entries that others write into the store.
-type Decoder interface {
-	// Config returns false where a key holds no configuration.
-	Config(key string, value []byte) (describer.Config, bool, error)
-	// Wave returns false where a key holds no wave of upkeep.
-	Wave(key string, value []byte) (describer.Wave, bool, error)
-	Worker(id string, value []byte) (describer.Worker, error)
-}
-
 // Options are what a keeper is made from.
 type Options struct {
 	Name        string
@@ -64,7 +58,7 @@
 	Cores       float64
 	PeerAddress netip.AddrPort
 	Store       storer.Store
-	Decoder     Decoder
+	Decoder     cataloger.Decoder
 	Workers     holder.Workers
 	Machines    holder.Machines
 	Advisor     asker.Advisor
@@ -82,18 +76,17 @@
 	deliverer *deliverer.Deliverer
 	announcer *announcer.Announcer
 	asker     *asker.Asker
+	teller    *teller.Teller
+	chronicle chronicler.Chronicler
 	prober    *prober.Prober
 	// wakeClaims has the claims read at once.
 	wakeClaims chan struct{}
 	yielder    *yielder.Yielder
 
-	mu     sync.Mutex
-	state  *journaler.State
-	config describer.Config
-	// waves are the waves of upkeep that operators asked for, by number.
-	waves map[int64]describer.Wave
-	// listed are the workers of the host list; missing those that left it lately.
-	listed map[string]describer.Worker
+	mu    sync.Mutex
+	state *journaler.State
+	// catalog is what operators and workers have written.
+	catalog *cataloger.Catalog
 	// jobsAt and claimsAt are when the topics were last read.
 	jobsAt   time.Time
 	claimsAt time.Time
@@ -103,7 +96,6 @@
 	beatAt   time.Time
 	failedAt time.Time
 	heardTo  int64
-	listedAt time.Time
 	// holder and dispatcher are nil while another host has the claim.
 	holder     *holder.Holder
 	dispatcher *dispatcher.Dispatcher
@@ -122,7 +114,7 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
-	k := &Keeper{options: options, state: journaler.New(), listed: make(map[string]describer.Worker), waves: make(map[int64]describer.Wave), wakeClaims: make(chan struct{}, 1), heardTo: -1}
+	k := &Keeper{options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), wakeClaims: make(chan struct{}, 1), heardTo: -1}
 	k.submitter = submitter.New(submitter.Options{
 		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
 		HasAlternative: func() bool { return k.forwarder.HasHolder() },
@@ -149,6 +141,13 @@
 	k.deliverer = deliverer.New(deliverer.Options{
 		Submitter: k.submitter, Forwarder: k.forwarder, View: k.prober.View, Clock: options.Clock, IsStoreDown: k.isStoreDown,
 	})
+	k.teller = teller.New(teller.Options{
+		Read: k.read, Keep: k.deliverer.Keep, Explain: k.explain,
+		IsRefused: func(err error) bool { return errors.Is(err, storer.ErrRefused) },
+	})
+	if options.Messenger != nil {
+		messenger.Handle(options.Messenger, commandKind, k.executeForPeer)
+	}
 	k.yielder = yielder.New(yielder.Options{
 		Self: options.Name, Cores: options.Cores, Messenger: options.Messenger, Hosts: k.hosts, IsReady: k.IsReady,
 	})
@@ -210,8 +209,8 @@
 	defer k.mu.Unlock()
 	now := k.now()
 	counts := Counts{
-		ConfigVersion: k.config.Version, Epoch: k.state.Claim.Epoch, Jobs: len(k.state.Jobs),
-		Workers: len(k.listed), JobsAge: now.Sub(k.jobsAt), ClaimsAge: now.Sub(k.claimsAt),
+		ConfigVersion: k.catalog.Config.Version, Epoch: k.state.Claim.Epoch, Jobs: len(k.state.Jobs),
+		Workers: len(k.catalog.Workers()), JobsAge: now.Sub(k.jobsAt), ClaimsAge: now.Sub(k.claimsAt),
 	}
 	if k.holder != nil {
 		counts.Holder = 1
@@ -225,14 +224,14 @@
 
 // knowsCell reports whether the configuration and the log were read once.
 func (k *Keeper) knowsCell() bool {
-	return k.config.Version > 0 && !k.jobsAt.IsZero() && !k.claimsAt.IsZero()
+	return k.catalog.Config.Version > 0 && !k.jobsAt.IsZero() && !k.claimsAt.IsZero()
 }
 
 // Config returns the newest configuration; its version is 0 before the first.
 func (k *Keeper) Config() describer.Config {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.config
+	return k.catalog.Config
 }
 
 func (k *Keeper) now() time.Time { return k.options.Clock.Now() }
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -171,7 +171,7 @@
 	if !k.knowsCell() {
 		return describer.Queue{}, "", ErrNotReady
 	}
-	queue, rest, found := k.config.Route(host, path)
+	queue, rest, found := k.catalog.Config.Route(host, path)
 	if !found {
 		return queue, "", ErrNoJob
 	}
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -77,6 +77,9 @@
 	return d
 }
 
+// Registrar returns what the dispatcher holds, to be read.
+func (d *Dispatcher) Registrar() *registrar.Registrar { return d.registrar }
+
 // IsFenced reports that a worker has obeyed a later holder.
 func (d *Dispatcher) IsFenced() bool { return d.registrar.IsFenced }
 
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -108,6 +108,7 @@
 // Tick does what is due for the waves.
 func (e *Evacuator) Tick(now time.Time) {
 	e.Now = now
+	e.moveOff()
 	if e.listedAt.IsZero() || now.Sub(e.ClaimedAt) < formerHolderTime {
 		return
 	}
@@ -121,6 +122,24 @@
 	}
 }
 
+// moveOff stops the lasting tasks at drained workers, so that they start elsewhere: of each
+// step as many at a time as may be missed, one where it does not say.
+func (e *Evacuator) moveOff() {
+	for _, w := range e.Ordered {
+		if !w.IsDrained {
+			continue
+		}
+		for _, r := range w.Runs {
+			if r.Stopping || r.Task == nil || !r.Task.Step.Spec.LongRunning {
+				continue
+			}
+			if step := r.Task.Step; step.Away("", e.isGoing) < max(step.Spec.MayMiss, 1) {
+				e.settler.Stop(r)
+			}
+		}
+	}
+}
+
 func (e *Evacuator) tickWave(w *wave) {
 	if w.isReportedCompleted() {
 		return
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -28,6 +28,7 @@
 const (
 	beatKey        = "b"
 	claimKey       = "c"
+	drainPrefix    = "d/"
 	hostPrefix     = "h/"
 	jobPrefix      = "j/"
 	progressPrefix = "p/"
@@ -75,6 +76,19 @@
 // Cancel says that a job is not wanted any more.
 type Cancel struct {
 	At time.Time `cbor:"1,keyasint"`
+	// By is the operator who asked for it; empty where a caller did.
+	By string `cbor:"2,keyasint,omitempty"`
+}
+
+// Drain says that a worker, or all of a rack, gets nothing new.
+type Drain struct {
+	// Kind is "worker" or "rack".
+	Kind string    `cbor:"1,keyasint"`
+	Name string    `cbor:"2,keyasint"`
+	By   string    `cbor:"3,keyasint"`
+	At   time.Time `cbor:"4,keyasint"`
+	// IsLifted reports that the drain is over.
+	IsLifted bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Host is an entry host's address for its peers.
@@ -160,6 +174,9 @@
 	return record(cancelPrefix+string(id), c)
 }
 
+// NewDrain returns the record of a drain, or of its end.
+func NewDrain(d Drain) (Record, error) { return record(drainPrefix+d.Kind+"/"+d.Name, d) }
+
 // NewHost returns the record of an entry host.
 func NewHost(h Host) (Record, error) { return record(hostPrefix+h.Name, h) }
 
@@ -197,9 +214,9 @@
 	// Job is nil where only a cancel or progress was read so far.
 	Job       *describer.Job
 	Cancelled bool
-	// CancelledAt is the offset of the cancellation.
-	CancelledAt int64
-	Progress    Progress
+	// Cancel says when and by whom; its zero value was not read.
+	Cancel   Cancel
+	Progress Progress
 	// JobOffset is where the submission stands among the jobs.
 	JobOffset      int64
 	progressOffset int64
@@ -231,18 +248,21 @@
 	Jobs         map[describer.JobID]*Entry
 	Hosts        map[string]Host
 	Roster       Roster
+	// Drains are the drains and their ends, by kind and name.
+	Drains map[string]Drain
 	// Waves has how far waves of upkeep are, by their numbers.
 	Waves        map[int64]WaveProgress
 	rosterOffset int64
 	hostOffsets  map[string]int64
+	drainOffsets map[string]int64
 }
 
 // New returns the state before any record.
 func New() *State {
 	return &State{
 		ClaimOffset: -1, HolderOffset: -1,
-		Waves: make(map[int64]WaveProgress),
-		Jobs:  make(map[describer.JobID]*Entry), Hosts: make(map[string]Host), hostOffsets: make(map[string]int64),
+		Waves: make(map[int64]WaveProgress), Drains: make(map[string]Drain),
+		Jobs: make(map[describer.JobID]*Entry), Hosts: make(map[string]Host), hostOffsets: make(map[string]int64), drainOffsets: make(map[string]int64),
 	}
 }
 
@@ -273,6 +293,8 @@
 		return nil, s.applyRoster(r, offset)
 	case strings.HasPrefix(r.Key, wavePrefix):
 		return nil, s.applyWave(r, offset)
+	case strings.HasPrefix(r.Key, drainPrefix):
+		return nil, s.applyDrain(r, offset)
 	case r.Key == claimKey:
 		return nil, s.applyClaim(r, offset)
 	case strings.HasPrefix(r.Key, hostPrefix):
@@ -282,7 +304,7 @@
 	case strings.HasPrefix(r.Key, progressPrefix):
 		return s.applyProgress(describer.JobID(r.Key[len(progressPrefix):]), r, offset)
 	case strings.HasPrefix(r.Key, cancelPrefix):
-		return s.applyCancel(describer.JobID(r.Key[len(cancelPrefix):]), r, offset)
+		return s.applyCancel(describer.JobID(r.Key[len(cancelPrefix):]), r)
 	}
 	return nil, errors.Errorf("record %q is of no known kind", r.Key)
 }
@@ -329,6 +351,26 @@
 	return nil
 }
 
+// applyDrain takes in the newest word on a drain; operators' clocks may be apart, so the log's
+// order decides.
+func (s *State) applyDrain(r Record, offset int64) error {
+	if last, found := s.drainOffsets[r.Key]; found && offset < last {
+		return nil
+	}
+	var drain Drain
+	if err := cbor.Unmarshal(r.Value, &drain); err != nil {
+		return errors.Errorf("read drain: %w", err)
+	}
+	s.Drains[r.Key[len(drainPrefix):]], s.drainOffsets[r.Key] = drain, offset
+	return nil
+}
+
+// IsDrained reports whether a worker, or its rack, gets nothing new.
+func (s *State) IsDrained(worker, rack string) bool {
+	isDrained := func(key string) bool { d, found := s.Drains[key]; return found && !d.IsLifted }
+	return len(s.Drains) > 0 && (isDrained("worker/"+worker) || isDrained("rack/"+rack))
+}
+
 // applyWave adds what is new: a machine whose upkeep has begun stays so.
 func (s *State) applyWave(r Record, offset int64) error {
 	var next WaveProgress
@@ -411,12 +453,18 @@
 	}
 }
 
-func (s *State) applyCancel(id describer.JobID, r Record, offset int64) (*Entry, error) {
+func (s *State) applyCancel(id describer.JobID, r Record) (*Entry, error) {
 	if len(r.Value) == 0 {
 		s.dropBare(id)
 		return nil, nil
 	}
 	e := s.entry(id)
-	e.Cancelled, e.CancelledAt = true, offset
+	e.Cancelled = true
+	// The first cancellation counts, and one that can't be read is still one.
+	if e.Cancel.At.IsZero() {
+		if err := cbor.Unmarshal(r.Value, &e.Cancel); err != nil {
+			return e, errors.Errorf("read cancellation of %s: %w", id, err)
+		}
+	}
 	return e, nil
 }
--- a/internal/fleet/journaler/journaler_test.go
+++ b/internal/fleet/journaler/journaler_test.go
@@ -118,7 +118,7 @@
 	state := journaler.New()
 	for _, r := range []journaler.Record{
 		{Key: "unknown", Value: []byte("x")}, {Key: ""}, {Key: "c", Value: []byte("x")}, {Key: "b", Value: []byte{0xff}},
-		{Key: "h/a", Value: []byte("x")}, {Key: "j/a", Value: []byte("x")}, {Key: "p/a", Value: []byte("x")}, {Key: "w", Value: []byte("x")}, {Key: "u/1", Value: []byte("x")},
+		{Key: "h/a", Value: []byte("x")}, {Key: "j/a", Value: []byte("x")}, {Key: "p/a", Value: []byte("x")}, {Key: "w", Value: []byte("x")}, {Key: "u/1", Value: []byte("x")}, {Key: "d/worker/w", Value: []byte("x")},
 	} {
 		_, err := state.Apply(r, 5)
 		require.Error(t, err, "key %q", r.Key)
--- a/internal/fleet/minder/minder.go
+++ b/internal/fleet/minder/minder.go
@@ -63,6 +63,8 @@
 	RosterBatch int64
 	// IsSilent reports that the worker has not answered for a while.
 	IsSilent bool
+	// IsDrained reports that operators want nothing new there.
+	IsDrained bool
 	// IsLeaving reports that the worker's machine is about to be taken down on purpose.
 	IsLeaving bool
 	// IsDoubted reports that a start was not answered, and nothing was heard since.
@@ -135,7 +137,7 @@
 func (w *Worker) TakesWork(now time.Time) bool {
 	isOneLife := w.Info.Incarnation == 0 || w.Info.Incarnation == w.Incarnation
 	isHeard := w.IsSynced && !w.IsFailing && !w.IsDoubted && w.Lease.IsKnown() && now.Sub(w.AnsweredAt) < Silence
-	return w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && isOneLife && isHeard && w.Trust.TakesWork(now)
+	return w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && !w.IsDrained && isOneLife && isHeard && w.Trust.TakesWork(now)
 }
 
 // BeginLife forgets what is of a former life only.
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -111,6 +111,7 @@
 // Tick settles what silent workers can't run any more and forgets those that are gone.
 func (h *Watcher) Tick() {
 	for _, w := range h.Ordered {
+		w.IsDrained = h.State.IsDrained(w.Info.ID, w.Info.Rack)
 		h.tick(w)
 	}
 	h.forget()
--- /dev/null
+++ b/internal/query/teller/view.go
@@ -0,0 +1,223 @@
+package teller
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/minder"
+	"lentilrock.example/internal/query/tabler"
+)
+
+// views are the nouns that can be shown.
+var views = map[string]func(k Known) tabler.Table{
+	"audit": audit, "config": config, "fleet": fleet, "hosts": hosts, "jobs": jobs, "tasks": tasks, "workers": workers,
+}
+
+var jobStates = [...]string{
+	describer.JobQueued: "waiting", describer.JobRunning: "running", describer.JobCompleted: "done",
+	describer.JobFailed: "failed", describer.JobCancelled: "cancelled",
+}
+
+func age(k Known, since time.Time) string {
+	if since.IsZero() {
+		return "-"
+	}
+	return k.Now.Sub(since).Round(time.Millisecond).String()
+}
+
+func dash(text string) string { return cmp.Or(text, "-") }
+
+// onlyHolder notes that a table lacks what the holder alone knows.
+func onlyHolder(t *tabler.Table) {
+	t.Missing = append(t.Missing, "what runs: this host does not hold the cell, and the holder did not answer")
+}
+
+func sortRows(t *tabler.Table) {
+	slices.SortFunc(t.Rows, func(a, b []string) int { return cmp.Compare(a[0], b[0]) })
+}
+
+func jobs(k Known) tabler.Table {
+	t := tabler.Table{Columns: []string{"job", "queue", "state", "age", "steps", "reason"}}
+	for id, e := range k.State.Jobs {
+		if e.Job != nil {
+			t.Add(string(id), e.Job.Queue.Name, jobStates[e.JobState()], age(k, e.Job.Received), strconv.Itoa(len(e.Job.Steps)), dash(e.Progress.Reason))
+		}
+	}
+	sortRows(&t)
+	return t
+}
+
+func tasks(k Known) tabler.Table {
+	t := tabler.Table{Columns: []string{"task", "state", "worker", "run", "age", "percent"}}
+	if k.Registrar == nil {
+		onlyHolder(&t)
+		return t
+	}
+	for _, j := range k.Registrar.Jobs {
+		for _, s := range j.Steps {
+			for _, task := range s.Tasks {
+				switch r := task.Run; {
+				case task.Done:
+				case r == nil:
+					t.Add(task.Ref().String(), "waiting", "-", "-", age(k, task.FreeSince), "-")
+				default:
+					state := "running"
+					if r.AnsweredAt.IsZero() {
+						state = "ordered"
+					}
+					t.Add(task.Ref().String(), state, r.Worker, strconv.FormatInt(r.Number, 10), age(k, r.SentAt), strconv.Itoa(r.Done))
+				}
+			}
+		}
+	}
+	sortRows(&t)
+	return t
+}
+
+func workers(k Known) tabler.Table {
+	t := tabler.Table{Columns: []string{"worker", "service", "data_centre", "rack", "state", "runs", "cores", "memory_mb", "heard"}}
+	if k.Registrar == nil {
+		onlyHolder(&t)
+		return t
+	}
+	for _, w := range k.Registrar.Ordered {
+		t.Add(w.Info.ID, dash(w.Info.Service), dash(w.Info.DataCentre), dash(w.Info.Rack), stateOf(k, w), strconv.Itoa(len(w.Runs)),
+			fmt.Sprintf("%.1f/%.1f", float64(w.Used.MilliCPU)/1000, float64(w.Info.Capacity.MilliCPU)/1000),
+			fmt.Sprintf("%d/%d", w.Used.MemoryMB, w.Info.Capacity.MemoryMB), age(k, w.AnsweredAt))
+	}
+	sortRows(&t)
+	return t
+}
+
+// stateOf says in a word why a worker gets work or gets none.
+func stateOf(k Known, w *minder.Worker) string {
+	switch {
+	case !w.IsListed:
+		return "unlisted"
+	case w.IsFailing:
+		return "silent"
+	case w.IsDrained:
+		return "drained"
+	case w.IsLeaving, w.Info.Draining:
+		return "leaving"
+	case !w.Trust.TakesWork(k.Now):
+		return "distrusted"
+	case !w.TakesWork(k.Now):
+		return "unready"
+	}
+	return "ready"
+}
+
+func hosts(k Known) tabler.Table {
+	t := tabler.Table{Columns: []string{"host", "data_centre", "address", "incarnation", "cores", "role"}}
+	for _, h := range k.Hosts {
+		role := "-"
+		if claim := k.State.Claim; claim.Host == h.Name && !claim.Released {
+			role = "holder of epoch " + strconv.FormatInt(claim.Epoch, 10)
+		}
+		t.Add(h.Name, h.DataCentre, h.Address, h.Incarnation, strconv.FormatFloat(h.Cores, 'f', 2, 64), role)
+	}
+	return t
+}
+
+func config(k Known) tabler.Table {
+	t := tabler.Table{Columns: []string{"queue", "service", "host", "prefix", "priority", "attempts", "latency"}}
+	for _, q := range k.Config.Queues {
+		t.Add(q.Name, q.Service, q.Host, q.Prefix, strconv.Itoa(q.Priority), strconv.Itoa(q.MaxAttempts), q.Latency.String())
+	}
+	sortRows(&t)
+	t.Notes = append(t.Notes, "version "+strconv.FormatInt(k.Config.Version, 10))
+	return t
+}
+
+// audit shows what operators changed, the newest first.
+func audit(k Known) tabler.Table {
+	t := tabler.Table{Columns: []string{"at", "by", "change"}}
+	for _, d := range k.State.Drains {
+		verb := "drain"
+		if d.IsLifted {
+			verb = "undrain"
+		}
+		t.Add(d.At.UTC().Format(time.RFC3339Nano), dash(d.By), verb+" "+d.Kind+" "+d.Name)
+	}
+	for id, e := range k.State.Jobs {
+		if e.Cancelled && e.Cancel.By != "" {
+			t.Add(e.Cancel.At.UTC().Format(time.RFC3339Nano), e.Cancel.By, "cancel "+string(id))
+		}
+	}
+	slices.SortFunc(t.Rows, func(a, b []string) int { return cmp.Compare(b[0], a[0]) })
+	return t
+}
+
+// fleet counts jobs and workers by their states.
+func fleet(k Known) tabler.Table {
+	t := tabler.Table{Columns: []string{"what", "state", "count"}}
+	count := func(what string, rows tabler.Table, column int) {
+		byState := make(map[string]int)
+		for _, row := range rows.Rows {
+			byState[row[column]]++
+		}
+		for state, n := range byState {
+			t.Add(what, state, strconv.Itoa(n))
+		}
+		t.Missing = append(t.Missing, rows.Missing...)
+	}
+	count("jobs", jobs(k), 2)
+	count("workers", workers(k), 4)
+	slices.SortFunc(t.Rows, slices.Compare[[]string])
+	return t
+}
+
+// why shows what is known of a job or task, and what was decided about it lately.
+func (t *Teller) why(id string) (tabler.Table, error) {
+	job := describer.JobID(id)
+	if ref, err := describer.ParseTaskRef(id); err == nil {
+		job = ref.Job
+	}
+	table := tabler.Table{Columns: []string{"what", "value"}}
+	t.options.Read(func(k Known) {
+		entry, found := k.State.Jobs[job]
+		if !found || entry.Job == nil {
+			return
+		}
+		addJob(&table, k, entry)
+		for _, row := range tasks(k).Rows {
+			if ref, err := describer.ParseTaskRef(row[0]); err == nil && ref.Job == job {
+				table.Add("task "+row[0], fmt.Sprintf("%s worker=%s run=%s age=%s", row[1], row[2], row[3], row[4]))
+			}
+		}
+		if k.Registrar == nil {
+			onlyHolder(&table)
+		}
+	})
+	if len(table.Rows) == 0 {
+		return table, errors.Newf("nothing is known of %q", id)
+	}
+	for _, line := range t.options.Explain(job) {
+		table.Add("decided", line)
+	}
+	return table, nil
+}
+
+func addJob(table *tabler.Table, k Known, e *journaler.Entry) {
+	table.Add("state", jobStates[e.JobState()])
+	table.Add("queue", e.Job.Queue.Name)
+	table.Add("received", e.Job.Received.UTC().Format(time.RFC3339Nano))
+	table.Add("age", age(k, e.Job.Received))
+	if e.Progress.Reason != "" {
+		table.Add("reason", e.Progress.Reason)
+	}
+	if e.Cancelled {
+		table.Add("cancelled", e.Cancel.At.UTC().Format(time.RFC3339Nano)+" by "+cmp.Or(e.Cancel.By, "its caller"))
+	}
+	for _, p := range e.Progress.Steps {
+		table.Add(fmt.Sprintf("step %d.%d", p.Occurrence, p.Step), fmt.Sprintf("done=%v failed=%v", p.Done, p.Failed))
+	}
+}
