Try hosts that are gone less and less for advice, and notice a dead holder sooner

Cause: hosts that were replaced or lost power stay known for up to 75 s. A question for advice that goes through one of them waits 1.2 s beyond its terms, and each was tried again every 3 s. The holder's questioners waited 0.45 s, and asked each 0.45 s on a site of 39 hosts.

Change: the pause doubles up to 24 s, a question's slack is 0.5 s; a question to the holder counts as unanswered after 0.35 s, and comes each 0.33 s on such a site.

--- a/internal/entry/asker/asker.go
+++ b/internal/entry/asker/asker.go
@@ -25,10 +25,14 @@
 const (
 	// callKind names the call by which a peer asks in the holder's place.
 	callKind = "advise"
-	// answerSlack is how much longer than its terms say a question may take.
-	answerSlack = 1200 * time.Millisecond
-	// hostPause keeps questions away from a host that did not answer.
+	// answerSlack is how much longer than its terms say a question may take: the ways between
+	// regions, and what a busy host takes.
+	answerSlack = 500 * time.Millisecond
+	// hostPause keeps questions away from a host that did not answer. It doubles with each
+	// that follows, as hosts that are gone stay known for a while.
 	hostPause = 3 * time.Second
+	// maxHostPause bounds the doubling.
+	maxHostPause = 24 * time.Second
 )
 
 // Advisor says which workers may run a step.
@@ -58,6 +62,8 @@
 	mu      sync.Mutex
 	busy    map[string]bool
 	badTill map[string]time.Time
+	// pauses has the last pause of each host that did not answer since.
+	pauses  map[string]time.Duration
 	waiting []*question
 }
 
@@ -69,7 +75,7 @@
 
 // New returns an asker, which also serves the questions of its peers.
 func New(options Options) *Asker {
-	a := &Asker{options: options, busy: make(map[string]bool), badTill: make(map[string]time.Time)}
+	a := &Asker{options: options, busy: make(map[string]bool), badTill: make(map[string]time.Time), pauses: make(map[string]time.Duration)}
 	if options.Messenger != nil {
 		messenger.Handle(options.Messenger, callKind, a.askForPeer)
 	}
@@ -132,8 +138,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.busy[host.Name] = false
-	if !ok {
-		a.badTill[host.Name] = a.options.Clock.Now().Add(hostPause)
+	if ok {
+		delete(a.pauses, host.Name)
+	} else {
+		pause := min(max(2*a.pauses[host.Name], hostPause), maxHostPause)
+		a.pauses[host.Name] = pause
+		a.badTill[host.Name] = a.options.Clock.Now().Add(pause)
 	}
 	a.assign()
 }
--- a/internal/entry/prober/prober.go
+++ b/internal/entry/prober/prober.go
@@ -28,12 +28,12 @@
 	heldKind = "held"
 	// probePause separates questions, and grows by hostPause for each host of the cell.
 	probePause = 250 * time.Millisecond
-	hostPause  = 5 * time.Millisecond
+	hostPause  = 2 * time.Millisecond
 	// failedPause separates questions to a holder that did not answer.
 	failedPause = 100 * time.Millisecond
 	// answerTimeout is when a question counts as unanswered: several round trips between
 	// regions, and what a busy host takes.
-	answerTimeout = 450 * time.Millisecond
+	answerTimeout = 350 * time.Millisecond
 )
 
 // Options are what a prober is made from.
