Count and time what a host does: histograms of waiting, completion, appends and orders

The scope now reaches the keeper: submissions by outcome with their time, appends and reads by topic and outcome, orders by verdict, the time of a start, from hand-in to the first start and to completion, runs lost and failed.

--- a/internal/entry/deliverer/deliverer.go
+++ b/internal/entry/deliverer/deliverer.go
@@ -14,7 +14,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 
+	"lentilrock.example/internal/entry/measurer"
 	"lentilrock.example/internal/entry/prober"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/journaler"
@@ -53,6 +55,8 @@
 	// View returns what the questions to the holder have shown.
 	View  func() prober.View
 	Clock clockwork.Clock
+	// Scope takes metrics; nil drops them.
+	Scope tally.Scope
 	// IsStoreDown reports whether the store can't be reached from here.
 	IsStoreDown func() bool
 }
@@ -67,11 +71,25 @@
 }
 
 // New returns a deliverer.
-func New(options Options) *Deliverer { return &Deliverer{options: options} }
+func New(options Options) *Deliverer {
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
+	return &Deliverer{options: options}
+}
 
 // Keep keeps a record: through the holder, so that a slow store gets few appends and the
 // holder knows of it at once, else here, else through other peers. Errors are those of a Way.
 func (d *Deliverer) Keep(ctx context.Context, record journaler.Record) error {
+	began := d.options.Clock.Now()
+	err := d.keep(ctx, record)
+	scope := d.options.Scope.Tagged(map[string]string{"outcome": measurer.OutcomeOf(err)})
+	scope.Counter("submissions").Inc(1)
+	scope.Histogram("submission_seconds", measurer.Buckets).RecordDuration(d.options.Clock.Since(began))
+	return err
+}
+
+func (d *Deliverer) keep(ctx context.Context, record journaler.Record) error {
 	isHere := !d.options.IsStoreDown()
 	switch {
 	case isHere && d.isHolderQuiet():
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/holder"
+	"lentilrock.example/internal/entry/measurer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
 )
@@ -36,6 +37,10 @@
 func (k *Keeper) dispatchOptions() dispatcher.Options {
 	options := k.options.Dispatch
 	options.FormerLease = k.state.Claim.Lease
+	options.Observe = func(what string, took time.Duration) {
+		k.options.Scope.Histogram(what, measurer.Buckets).RecordDuration(took)
+	}
+	options.Count = func(what string) { k.options.Scope.Counter(what).Inc(1) }
 	return options
 }
 
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -21,15 +21,18 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/announcer"
+	"lentilrock.example/internal/entry/answerer"
 	"lentilrock.example/internal/entry/asker"
 	"lentilrock.example/internal/entry/cataloger"
 	"lentilrock.example/internal/entry/chronicler"
 	"lentilrock.example/internal/entry/deliverer"
 	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/holder"
+	"lentilrock.example/internal/entry/measurer"
 	"lentilrock.example/internal/entry/prober"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/entry/submitter"
@@ -46,7 +49,7 @@
 	// ErrNotReady means that the host does not know its cell yet.
 	ErrNotReady = errors.New("the host does not know its cell yet")
 	// ErrNoJob means that there is no such job.
-	ErrNoJob = errors.New("there is no such job")
+	ErrNoJob = answerer.ErrNoJob
 )
 
 // Options are what a keeper is made from.
@@ -65,7 +68,9 @@
 	Messenger   *messenger.Messenger
 	Clock       clockwork.Clock
 	Logger      *zap.Logger
-	Dispatch    dispatcher.Options
+	// Scope takes metrics; nil drops them.
+	Scope    tally.Scope
+	Dispatch dispatcher.Options
 }
 
 // Keeper is an entry host.
@@ -75,6 +80,7 @@
 	forwarder *forwarder.Forwarder
 	deliverer *deliverer.Deliverer
 	announcer *announcer.Announcer
+	answerer  *answerer.Answerer
 	asker     *asker.Asker
 	teller    *teller.Teller
 	chronicle chronicler.Chronicler
@@ -114,6 +120,11 @@
 	if options.Logger == nil {
 		options.Logger = zap.NewNop()
 	}
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
+	options.Store = measurer.NewStore(options.Store, options.Scope, options.Clock)
+	options.Workers = measurer.NewWorkers(options.Workers, options.Scope, options.Clock)
 	k := &Keeper{options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), wakeClaims: make(chan struct{}, 1), heardTo: -1}
 	k.submitter = submitter.New(submitter.Options{
 		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
@@ -121,8 +132,11 @@
 	})
 	k.forwarder = forwarder.New(forwarder.Options{
 		Self: options.Name, DataCentre: options.DataCentre, Messenger: options.Messenger, Hosts: k.hosts, Holder: k.otherHolder,
-		Keep: k.submitter.Keep, Status: k.statusHere, Glance: k.glance,
+		Keep:   k.submitter.Keep,
+		Status: func(ctx context.Context, id describer.JobID) forwarder.Answer { return k.answerer.Here(ctx, id) },
+		Glance: func(id describer.JobID) forwarder.Answer { return k.answerer.Glance(id) },
 	})
+	k.answerer = answerer.New(answerer.Options{Look: k.look, Peers: k.forwarder, Clock: options.Clock, ViewAge: viewAge})
 	k.announcer = announcer.New(announcer.Options{
 		Self: journaler.Host{
 			Name: options.Name, Incarnation: options.Incarnation, Address: options.PeerAddress.String(),
@@ -139,7 +153,8 @@
 		Hosts: func() int { return len(k.hosts()) },
 	})
 	k.deliverer = deliverer.New(deliverer.Options{
-		Submitter: k.submitter, Forwarder: k.forwarder, View: k.prober.View, Clock: options.Clock, IsStoreDown: k.isStoreDown,
+		Submitter: k.submitter, Forwarder: k.forwarder, View: k.prober.View, Clock: options.Clock, Scope: options.Scope,
+		IsStoreDown: k.isStoreDown,
 	})
 	k.teller = teller.New(teller.Options{
 		Read: k.read, Keep: k.deliverer.Keep, Explain: k.explain,
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -6,9 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lentilrock.example/internal/entry/answerer"
 	"lentilrock.example/internal/entry/follower"
-	"lentilrock.example/internal/entry/forwarder"
-	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 )
@@ -20,18 +19,12 @@
 	silentStore = follower.ReadWait + 900*time.Millisecond
 	// failingStore is when a store counts as down whose answers are errors.
 	failingStore = 700 * time.Millisecond
-	// viewPoll is how often a denied job is looked for while the view is old.
-	viewPoll = 25 * time.Millisecond
 )
 
 // Submit keeps a job; it is accepted once that returns nil. Errors wrap storer.ErrRefused, after
 // which the job never runs, storer.ErrNotKnown or ErrNotReady.
 func (k *Keeper) Submit(ctx context.Context, job *describer.Job) error {
-	k.mu.Lock()
-	entry, found := k.state.Jobs[job.ID]
-	isKnown := found && entry.Job != nil
-	k.mu.Unlock()
-	if isKnown {
+	if k.look(job.ID).IsKnown {
 		return nil
 	}
 	job.Received = k.now()
@@ -58,62 +51,20 @@
 	return k.deliverer.Keep(ctx, record)
 }
 
-// Status returns a job's state. Errors wrap ErrNoJob or storer.ErrNotKnown. Of a job that has
-// not ended as far as this host knows, the holder knows more.
+// Status returns a job's state. Errors wrap ErrNoJob or storer.ErrNotKnown.
 func (k *Keeper) Status(ctx context.Context, id describer.JobID) (describer.JobState, error) {
-	k.mu.Lock()
-	entry, found := k.state.Jobs[id]
-	isKnown := found && entry.Job != nil
-	isFresh := k.now().Sub(k.jobsAt) < viewAge
-	var state describer.JobState
-	if isKnown {
-		state = entry.JobState()
-	}
-	k.mu.Unlock()
-	if isKnown && state.IsFinal() {
-		return state, nil
-	}
-	answer := k.forwarder.AskHolder(ctx, id)
-	switch {
-	case !answer.IsOpen:
-	case isFresh:
-		answer = k.statusHere(ctx, id)
-	default:
-		answer = k.forwarder.Status(ctx, id)
-	}
-	switch {
-	case !answer.IsOpen && !answer.IsDenied:
-		return answer.State, nil
-	case isKnown:
-		// An older state is still a true one: nothing of a job is taken back.
-		return state, nil
-	case answer.IsDenied:
-		return 0, ErrNoJob
-	}
-	return 0, errors.Errorf("status of job %s: %w", id, storer.ErrNotKnown)
+	return k.answerer.Status(ctx, id)
 }
 
-// glance answers for a job at once, from what this host knows.
-func (k *Keeper) glance(id describer.JobID) forwarder.Answer {
+// look returns what this host knows of a job.
+func (k *Keeper) look(id describer.JobID) answerer.View {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	entry, found := k.state.Jobs[id]
-	if !found || entry.Job == nil {
-		return forwarder.Answer{IsOpen: true}
+	view := answerer.View{ReadAt: k.jobsAt}
+	if entry, found := k.state.Jobs[id]; found && entry.Job != nil {
+		view.IsKnown, view.State = true, entry.JobState()
 	}
-	return forwarder.Answer{State: entry.JobState()}
-}
-
-// statusHere answers for a job from this host's view.
-func (k *Keeper) statusHere(ctx context.Context, id describer.JobID) forwarder.Answer {
-	entry, err := k.find(ctx, id)
-	switch {
-	case errors.Is(err, ErrNoJob):
-		return forwarder.Answer{IsDenied: true}
-	case err != nil:
-		return forwarder.Answer{IsOpen: true}
-	}
-	return forwarder.Answer{State: entry.JobState()}
+	return view
 }
 
 // isStoreDown reports whether the store has not answered for a while.
@@ -128,34 +79,6 @@
 	return age > silentStore || age > failingStore && k.failedAt.After(answered)
 }
 
-// find returns a copy of a job's entry. A job is denied only by a view of the log that is
-// fresh.
-func (k *Keeper) find(ctx context.Context, id describer.JobID) (journaler.Entry, error) {
-	asked := k.now()
-	for {
-		k.mu.Lock()
-		entry, found := k.state.Jobs[id]
-		isFresh := k.now().Sub(k.jobsAt) < viewAge
-		isNewer := k.jobsAt.After(asked)
-		var copied journaler.Entry
-		if found {
-			copied = *entry
-		}
-		k.mu.Unlock()
-		switch {
-		case found && copied.Job != nil:
-			return copied, nil
-		case isFresh || isNewer:
-			return copied, ErrNoJob
-		}
-		select {
-		case <-ctx.Done():
-			return copied, errors.Errorf("find job %s: %w", id, storer.ErrNotKnown)
-		case <-k.options.Clock.After(viewPoll):
-		}
-	}
-}
-
 // Pending counts the accepted jobs of a queue of which nothing has begun.
 func (k *Keeper) Pending(queue string) int {
 	k.mu.Lock()
--- /dev/null
+++ b/internal/entry/measurer/measurer.go
@@ -0,0 +1,117 @@
+// Package measurer counts and times the calls of an entry host to the store and to workers.
+//
+// # Usage
+//
+//	store := measurer.NewStore(client, scope, clock)
+//	workers := measurer.NewWorkers(client, scope, clock)
+package measurer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"lentilrock.example/internal/entry/holder"
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/orderer"
+)
+
+// Buckets are the bounds of latency histograms: from a call within a data centre to what
+// callers wait at most.
+var Buckets = tally.DurationBuckets{
+	2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second,
+}
+
+// Outcomes of calls to the store.
+const (
+	outcomeDone    = "done"
+	outcomeFenced  = "fenced"
+	outcomeRefused = "refused"
+	outcomeOpen    = "open"
+)
+
+// Store is a store whose calls are measured.
+type Store struct {
+	storer.Store
+	scope tally.Scope
+	clock clockwork.Clock
+}
+
+// NewStore returns a store that measures the calls to another.
+func NewStore(store storer.Store, scope tally.Scope, clock clockwork.Clock) *Store {
+	return &Store{Store: store, scope: scope, clock: clock}
+}
+
+// Append implements storer.Store.
+func (s *Store) Append(ctx context.Context, call storer.Append) (int64, error) {
+	began := s.clock.Now()
+	offset, err := s.Store.Append(ctx, call)
+	scope := s.scope.Tagged(map[string]string{"topic": call.Topic.String()})
+	scope.Histogram("append_seconds", Buckets).RecordDuration(s.clock.Since(began))
+	scope.Tagged(map[string]string{"outcome": OutcomeOf(err)}).Counter("appends").Inc(1)
+	scope.Counter("appended_records").Inc(int64(len(call.Records)))
+	return offset, err
+}
+
+// Read implements storer.Store.
+func (s *Store) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) ([]storer.Entry, error) {
+	entries, err := s.Store.Read(ctx, topic, from, wait)
+	s.scope.Tagged(map[string]string{"topic": topic.String(), "outcome": OutcomeOf(err)}).Counter("reads").Inc(1)
+	return entries, err
+}
+
+// OutcomeOf names the outcome of a call to the store in metrics.
+func OutcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return outcomeDone
+	case errors.Is(err, storer.ErrFenced):
+		return outcomeFenced
+	case errors.Is(err, storer.ErrRefused):
+		return outcomeRefused
+	}
+	return outcomeOpen
+}
+
+// Workers are workers whose orders are measured.
+type Workers struct {
+	holder.Workers
+	scope tally.Scope
+	clock clockwork.Clock
+}
+
+// NewWorkers returns workers that measure the orders to others.
+func NewWorkers(workers holder.Workers, scope tally.Scope, clock clockwork.Clock) *Workers {
+	return &Workers{Workers: workers, scope: scope, clock: clock}
+}
+
+// Start implements holder.Workers.
+func (w *Workers) Start(ctx context.Context, start orderer.Start) orderer.Verdict {
+	began := w.clock.Now()
+	verdict := w.Workers.Start(ctx, start)
+	w.scope.Histogram("start_order_seconds", Buckets).RecordDuration(w.clock.Since(began))
+	w.count("start", verdict)
+	return verdict
+}
+
+// Stop implements holder.Workers.
+func (w *Workers) Stop(ctx context.Context, stop orderer.Stop) orderer.Verdict {
+	verdict := w.Workers.Stop(ctx, stop)
+	w.count("stop", verdict)
+	return verdict
+}
+
+// Look implements holder.Workers.
+func (w *Workers) Look(ctx context.Context, look orderer.Look) (orderer.Inventory, orderer.Verdict) {
+	inventory, verdict := w.Workers.Look(ctx, look)
+	w.count("look", verdict)
+	return inventory, verdict
+}
+
+func (w *Workers) count(order string, verdict orderer.Verdict) {
+	w.scope.Tagged(map[string]string{"order": order, "verdict": verdict.String()}).Counter("orders").Inc(1)
+}
--- /dev/null
+++ b/internal/entry/measurer/measurer_test.go
@@ -0,0 +1,60 @@
+package measurer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"lentilrock.example/internal/entry/holder"
+	"lentilrock.example/internal/entry/measurer"
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/orderer"
+)
+
+// store answers appends with an error, and reads with nothing.
+type store struct {
+	storer.Store
+	err error
+}
+
+func (s store) Append(context.Context, storer.Append) (int64, error) { return 4, s.err }
+
+func (s store) Read(context.Context, storer.Topic, int64, time.Duration) ([]storer.Entry, error) {
+	return nil, s.err
+}
+
+// workers accept starts and answer nothing else.
+type workers struct{ holder.Workers }
+
+func (workers) Start(context.Context, orderer.Start) orderer.Verdict { return orderer.Accepted }
+
+func (workers) Stop(context.Context, orderer.Stop) orderer.Verdict { return orderer.Unknown }
+
+func TestCounts(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	for _, err := range []error{nil, errors.Wrap(storer.ErrRefused, "test"), errors.Wrap(storer.ErrFenced, "test"), errors.New("other")} {
+		s := measurer.NewStore(store{err: err}, scope, clockwork.NewRealClock())
+		_, got := s.Append(t.Context(), storer.Append{Topic: storer.Jobs})
+		require.Equal(t, err, got, "the call is passed on as it is")
+		_, got = s.Read(t.Context(), storer.Claims, 0, 0)
+		require.Equal(t, err, got)
+	}
+	w := measurer.NewWorkers(workers{}, scope, clockwork.NewRealClock())
+	require.Equal(t, orderer.Accepted, w.Start(t.Context(), orderer.Start{}))
+	require.Equal(t, orderer.Unknown, w.Stop(t.Context(), orderer.Stop{}))
+	counters := make(map[string]int64)
+	for key, c := range scope.Snapshot().Counters() {
+		counters[key] = c.Value()
+	}
+	for _, outcome := range []string{"done", "refused", "fenced", "open"} {
+		require.Equal(t, int64(1), counters["appends+outcome="+outcome+",topic=jobs"], "%v", counters)
+		require.Equal(t, int64(1), counters["reads+outcome="+outcome+",topic=claims"], "%v", counters)
+	}
+	require.Equal(t, int64(1), counters["orders+order=start,verdict=accepted"])
+	require.Equal(t, int64(1), counters["orders+order=stop,verdict=unknown"])
+}
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -154,6 +154,7 @@
 	w.Add(r)
 	j.Runs[r] = true
 	if !j.Begun {
+		p.Options.Observe("first_start_seconds", p.Now.Sub(j.Spec.Received))
 		j.Begun = true
 		p.Saver.Changed(j)
 	}
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -49,6 +49,9 @@
 	History time.Duration
 	// RemoteFactor is how much slower a task is away from its data.
 	RemoteFactor float64
+	// Observe takes in how long something took, and Count that something happened, for metrics.
+	Observe func(what string, took time.Duration)
+	Count   func(what string)
 	// Report takes a line for the log: a message and pairs of key and value.
 	Report func(message string, fields ...any)
 }
@@ -68,6 +71,12 @@
 	o.Lease = min(o.Lease, o.HoldMax)
 	o.FormerLease = min(cmp.Or(o.FormerLease, o.HoldMax), o.HoldMax)
 	o.RemoteFactor = max(o.RemoteFactor, 1)
+	if o.Observe == nil {
+		o.Observe = func(string, time.Duration) {}
+	}
+	if o.Count == nil {
+		o.Count = func(string) {}
+	}
 	if o.Report == nil {
 		o.Report = func(string, ...any) {}
 	}
--- a/internal/fleet/settler/settler.go
+++ b/internal/fleet/settler/settler.go
@@ -195,6 +195,7 @@
 	}
 	if !j.IsOver() && j.IsDone() {
 		j.Outcome = journaler.OutcomeCompleted
+		s.Options.Observe("completion_seconds", s.Now.Sub(j.Spec.Received))
 		s.Report("A job is completed.", "job", j.Spec.ID)
 	}
 	s.Saver.Changed(j)
@@ -204,6 +205,7 @@
 func (s *Settler) taskFailed(w *minder.Worker, t *tasker.Task, number int64) {
 	j := t.Step.Job
 	failures := t.Fail(number, w.Info.ID)
+	s.Options.Count("runs_failed")
 	s.Saver.Changed(j)
 	s.Report("A task failed.", "task", t.Ref().String(), "run", number, "worker", w.Info.ID, "failures", failures)
 	if w.Trust.Failed(s.Now, j.Spec.ID) {
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -124,6 +124,7 @@
 	for _, r := range w.Runs {
 		switch {
 		case isGone:
+			h.Options.Count("runs_lost")
 			h.Report("A run is lost with its worker.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID)
 			h.settler.Settle(r)
 		case r.Stopping && r.StopAckedAt.IsZero() && h.Now.Sub(r.StopSentAt) >= retryPause && !w.IsFailing:
--- a/internal/metrics/collector/collector.go
+++ b/internal/metrics/collector/collector.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -33,14 +34,17 @@
 	mu       sync.Mutex
 	counters map[string]int64
 	gauges   map[string]float64
-	refresh  func(tally.Scope)
+	// histograms have the samples of each bucket, by name and tags.
+	histograms map[string]*histogram
+	refresh    func(tally.Scope)
 }
 
 // New returns a collector; closing the closer ends its reports. Refresh, where given, is
 // called before each scrape to set gauges.
 func New(refresh func(tally.Scope)) (*Collector, io.Closer) {
 	c := &Collector{
-		counters: make(map[string]int64), gauges: make(map[string]float64), refresh: refresh,
+		counters: make(map[string]int64), gauges: make(map[string]float64), histograms: make(map[string]*histogram),
+		refresh: refresh,
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "lentilrock", Separator: "_", Reporter: c, OmitCardinalityMetrics: true,
@@ -87,12 +91,43 @@
 
 // ReportHistogramValueSamples implements tally.StatsReporter.
 func (c *Collector) ReportHistogramValueSamples(name string, tags map[string]string, _ tally.Buckets, _, upper float64, samples int64) {
-	c.ReportCounter(name+"_bucket", with(tags, "le", fmt.Sprint(upper)), samples)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, found := c.histograms[label(name, tags)]
+	if !found {
+		h = &histogram{name: name, tags: maps.Clone(tags), samples: make(map[float64]int64)}
+		c.histograms[label(name, tags)] = h
+	}
+	h.samples[upper] += samples
 }
 
 // ReportHistogramDurationSamples implements tally.StatsReporter.
 func (c *Collector) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
-	c.ReportCounter(name+"_bucket", with(tags, "le", fmt.Sprint(upper.Seconds())), samples)
+	bound := upper.Seconds()
+	if upper == math.MaxInt64 {
+		bound = math.Inf(1)
+	}
+	c.ReportHistogramValueSamples(name, tags, nil, 0, bound, samples)
+}
+
+// histogram has the samples of each bucket by its upper bound.
+type histogram struct {
+	name    string
+	tags    map[string]string
+	samples map[float64]int64
+}
+
+// write writes the buckets, each with the samples of all below it, as scrapers expect.
+func (h *histogram) write(w io.Writer) {
+	total := int64(0)
+	for _, bound := range sorter.Keys(h.samples) {
+		total += h.samples[bound]
+		if !math.IsInf(bound, 1) {
+			_, _ = fmt.Fprintf(w, "%s %d\n", label(h.name+"_bucket", with(h.tags, "le", fmt.Sprint(bound))), total)
+		}
+	}
+	_, _ = fmt.Fprintf(w, "%s %d\n", label(h.name+"_bucket", with(h.tags, "le", "+Inf")), total)
+	_, _ = fmt.Fprintf(w, "%s %d\n", label(h.name+"_count", h.tags), total)
 }
 
 func with(tags map[string]string, name, value string) map[string]string {
@@ -128,6 +163,9 @@
 		// A failed write means that the scraper is gone.
 		_, _ = fmt.Fprintf(w, "%s %d\n", name, c.counters[name])
 	}
+	for _, name := range sorter.Keys(c.histograms) {
+		c.histograms[name].write(w)
+	}
 	for _, name := range sorter.Keys(c.gauges) {
 		_, _ = fmt.Fprintf(w, "%s %g\n", name, c.gauges[name])
 	}
