Keep a slow store's queue short: a holder that lives has a record, and no other host appends it

Change: an append beside others is given up only once a later one is answered, or after 2.4 s. A host whose holder did not answer in time but lives leaves the record to it; one whose holder dies meanwhile goes on at once.

--- a/internal/entry/deliverer/deliverer.go
+++ b/internal/entry/deliverer/deliverer.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,10 +22,10 @@
 )
 
 const (
-	// gatherPause keeps records away from a holder that did not answer.
-	gatherPause = 2 * time.Second
 	// keepTimeout is when a record is handed to a peer that this host could not keep.
 	keepTimeout = 1100 * time.Millisecond
+	// quietPoll is how often it is looked whether the holder still answers its peers.
+	quietPoll = 50 * time.Millisecond
 )
 
 // Way keeps a record. Errors wrap storer.ErrRefused, after which the record is never kept, or
@@ -64,10 +63,6 @@
 // Deliverer delivers records.
 type Deliverer struct {
 	options Options
-
-	mu sync.Mutex
-	// gatherAt is when the holder may be asked again.
-	gatherAt time.Time
 }
 
 // New returns a deliverer.
@@ -91,13 +86,19 @@
 
 func (d *Deliverer) keep(ctx context.Context, record journaler.Record) error {
 	isHere := !d.options.IsStoreDown()
-	switch {
-	case isHere && d.isHolderQuiet():
+	if isHere && d.isHolderQuiet() {
 		return tryInTurn(ctx, record, d.keepHere, d.gather, d.options.Forwarder.Keep)
-	case isHere:
-		return tryInTurn(ctx, record, d.gather, d.keepHere, d.options.Forwarder.Keep)
 	}
-	return tryInTurn(ctx, record, d.gather, d.options.Forwarder.Keep)
+	err := d.gather(ctx, record)
+	if err == nil || errors.Is(err, storer.ErrNotKnown) && !d.isHolderQuiet() {
+		// A holder that lives still has the record; another append would slow the store more.
+		return err
+	}
+	ways := []Way{func(context.Context, journaler.Record) error { return err }, d.keepHere, d.options.Forwarder.Keep}
+	if !isHere {
+		ways = []Way{ways[0], d.options.Forwarder.Keep}
+	}
+	return tryInTurn(ctx, record, ways...)
 }
 
 // tryInTurn keeps a record in the first way that does it. An outcome that one way left open
@@ -120,24 +121,25 @@
 	return err
 }
 
-// isHolderQuiet reports whether the holder may be gone, or did not answer a while ago.
-func (d *Deliverer) isHolderQuiet() bool {
-	isUnanswered := !d.options.View().FailingSince.IsZero()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return isUnanswered || d.options.Clock.Now().Before(d.gatherAt)
-}
+// isHolderQuiet reports whether the holder does not answer and may be gone.
+func (d *Deliverer) isHolderQuiet() bool { return !d.options.View().FailingSince.IsZero() }
 
-// gather has the holder keep a record. A holder that does not answer is left alone for a
-// while.
+// gather has the holder keep a record. It stops waiting once the holder may be gone.
 func (d *Deliverer) gather(ctx context.Context, record journaler.Record) error {
-	err := d.options.Forwarder.Gather(ctx, record)
-	if errors.Is(err, storer.ErrNotKnown) {
-		d.mu.Lock()
-		d.gatherAt = d.options.Clock.Now().Add(gatherPause)
-		d.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	gathered := make(chan error, 1)
+	go func() { gathered <- d.options.Forwarder.Gather(ctx, record) }()
+	for {
+		select {
+		case err := <-gathered:
+			return err
+		case <-d.options.Clock.After(quietPoll):
+		}
+		if d.isHolderQuiet() {
+			return errors.Errorf("keep through the holder, which does not answer: %w", storer.ErrNotKnown)
+		}
 	}
-	return err
 }
 
 // keepHere keeps a record without the help of peers. The holder is where the others would go,
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -35,7 +35,7 @@
 	callTimeout = 800 * time.Millisecond
 	// gatherTimeout bounds a call to the holder, which gathers the records of all hosts: two
 	// appends at a slow store and the way there fit in.
-	gatherTimeout = 1900 * time.Millisecond
+	gatherTimeout = 2300 * time.Millisecond
 )
 
 // ErrNoHolder means that no other host holds the cell, or that it can't be reached.
--- a/internal/entry/submitter/submitter.go
+++ b/internal/entry/submitter/submitter.go
@@ -39,7 +39,8 @@
 	gatePoll = 10 * time.Millisecond
 	// batchSize bounds the submissions of one append.
 	batchSize = 64
-	// lostTimeout is when the answer of a store that was fast counts as lost.
+	// lostTimeout is when the answer of a store that was fast counts as lost where no other
+	// append is under way.
 	lostTimeout = 800 * time.Millisecond
 	// slowTimeout bounds an append at a slow store: it lets 2 s of appends wait, and repeating
 	// one would add to them.
@@ -148,9 +149,10 @@
 func (s *Submitter) call(ctx context.Context, records []journaler.Record) (int64, error) {
 	c := &call{began: s.options.Clock.Now()}
 	s.mu.Lock()
-	timeout := lostTimeout
-	if s.isSlow {
-		timeout = slowTimeout
+	// Beside others it is noticed by their answers when this one is lost.
+	timeout := slowTimeout
+	if !s.isSlow && len(s.underWay) == 0 {
+		timeout = lostTimeout
 	}
 	ctx, c.cancel = context.WithTimeout(ctx, timeout)
 	s.underWay[c] = true
--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -145,6 +145,13 @@
 	return f.starts[task]
 }
 
+// IsDone reports whether a task has ended as done.
+func (f *Fleet) IsDone(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[task]
+}
+
 // Done counts the tasks that ended as done.
 func (f *Fleet) Done() int {
 	f.mu.Lock()
--- a/internal/standin/imitator/imitator.go
+++ b/internal/standin/imitator/imitator.go
@@ -35,6 +35,10 @@
 	Work func(ref describer.TaskRef) time.Duration
 	// Sleep is how long tasks run where Work is nil.
 	Sleep time.Duration
+	// Need is what a task takes; nil means nothing, so that no worker is ever overfull.
+	Need func(ref describer.TaskRef) describer.Resources
+	// Publish returns the address under which a worker is listed; nil means its own.
+	Publish func(id string, address netip.AddrPort) netip.AddrPort
 }
 
 // Imitator is a platform on loopback.
@@ -43,6 +47,7 @@
 	Fleet    *fencer.Fleet
 	machines *fencer.Machines
 
+	options Options
 	clock   clockwork.Clock
 	mu      sync.Mutex
 	servers []*http.Server
@@ -55,9 +60,15 @@
 	if work == nil {
 		work = func(describer.TaskRef) time.Duration { return options.Sleep }
 	}
+	if options.Need == nil {
+		options.Need = func(describer.TaskRef) describer.Resources { return describer.Resources{} }
+	}
+	if options.Publish == nil {
+		options.Publish = func(_ string, address netip.AddrPort) netip.AddrPort { return address }
+	}
 	return &Imitator{
-		Store: fencer.NewStore(options.Clock), clock: options.Clock,
-		Fleet: fencer.NewFleet(options.Clock, work, func(describer.TaskRef) describer.Resources { return describer.Resources{} }),
+		Store: fencer.NewStore(options.Clock), clock: options.Clock, options: options,
+		Fleet: fencer.NewFleet(options.Clock, work, options.Need),
 	}
 }
 
@@ -111,7 +122,7 @@
 		if err != nil {
 			return errors.Errorf("worker %s: %w", info.ID, err)
 		}
-		info.Address = address
+		info.Address = i.options.Publish(info.ID, address)
 		i.Fleet.Add(info)
 		if err := i.publish(info); err != nil {
 			return err
