--- a/internal/entry/deliverer/deliverer.go
+++ b/internal/entry/deliverer/deliverer.go
@@ -90,7 +90,7 @@
 		return tryInTurn(ctx, record, d.keepHere, d.gather, d.options.Forwarder.Keep)
 	}
 	err := d.gather(ctx, record)
-	if err == nil || errors.Is(err, storer.ErrNotKnown) && !d.isHolderQuiet() {
+	if err == nil || errors.Is(err, storer.ErrNotKnown) && !d.options.View().IsSilent {
 		// A holder that lives still has the record; another append would slow the store more.
 		return err
 	}
@@ -121,7 +121,7 @@
 	return err
 }
 
-// isHolderQuiet reports whether the holder does not answer and may be gone.
+// isHolderQuiet reports whether the holder does not answer, or can't keep records itself.
 func (d *Deliverer) isHolderQuiet() bool { return !d.options.View().FailingSince.IsZero() }
 
 // gather has the holder keep a record. It stops waiting once the holder may be gone.
@@ -136,7 +136,7 @@
 			return err
 		case <-d.options.Clock.After(quietPoll):
 		}
-		if d.isHolderQuiet() {
+		if d.options.View().IsSilent {
 			return errors.Errorf("keep through the holder, which does not answer: %w", storer.ErrNotKnown)
 		}
 	}
--- a/internal/entry/deliverer/deliverer_test.go
+++ b/internal/entry/deliverer/deliverer_test.go
@@ -96,7 +96,7 @@
 				if time.Now().Before(died) {
 					return prober.View{}
 				}
-				return prober.View{FailingSince: died}
+				return prober.View{FailingSince: died, IsSilent: true}
 			},
 		})
 		began := time.Now()
--- a/internal/entry/prober/prober.go
+++ b/internal/entry/prober/prober.go
@@ -52,6 +52,9 @@
 	Doubt func()
 }
 
+// errHeldNoMore is the answer of a host that lives and does not hold.
+var errHeldNoMore = errors.New("it holds no more")
+
 // View is what the questions to a holder have shown.
 type View struct {
 	// Epoch is that of the claim which was asked about.
@@ -61,6 +64,8 @@
 	// FailingSince is when the questions that have no answer since began; zero where the last
 	// one was answered.
 	FailingSince time.Time
+	// IsSilent reports that the last question had no answer at all: the holder may be gone.
+	IsSilent bool
 }
 
 // Prober asks the holder.
@@ -122,7 +127,7 @@
 		return errors.Errorf("ask %s: %w", holder.Name, err)
 	}
 	if held < epoch {
-		return errors.Newf("host %s holds no more", holder.Name)
+		return errors.Wrapf(errHeldNoMore, "host %s", holder.Name)
 	}
 	return nil
 }
@@ -134,6 +139,7 @@
 	if p.view.Epoch != epoch {
 		p.view = View{Epoch: epoch}
 	}
+	p.view.IsSilent = err != nil && !errors.Is(err, errHeldNoMore)
 	switch {
 	case err == nil:
 		p.view.AnsweredAt, p.view.FailingSince = p.options.Clock.Now(), time.Time{}
--- a/internal/entry/prober/prober_test.go
+++ b/internal/entry/prober/prober_test.go
@@ -48,10 +48,12 @@
 	held.Store(0)
 	require.Eventually(t, func() bool { return !p.View().FailingSince.IsZero() && doubts.Load() > 0 }, longWait, time.Millisecond,
 		"a host that holds no more")
+	require.False(t, p.View().IsSilent, "it answers")
 	held.Store(3)
 	require.Eventually(t, answers, longWait, time.Millisecond)
 	m.Close()
 	server.CloseClientConnections()
 	server.Close()
 	require.Eventually(t, func() bool { return !p.View().FailingSince.IsZero() }, longWait, time.Millisecond, "a host that is gone")
+	require.True(t, p.View().IsSilent)
 }
