--- a/internal/soak/soaker/soak_test.go
+++ b/internal/soak/soaker/soak_test.go
@@ -83,6 +83,9 @@
 	callers        netip.AddrPort
 	store          *proxy
 
+	// life lets one start or end happen at a time.
+	life sync.Mutex
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
@@ -191,6 +194,8 @@
 
 // start starts the process, unless it runs.
 func (e *entry) start(t *testing.T) {
+	e.life.Lock()
+	defer e.life.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.command != nil {
@@ -223,9 +228,10 @@
 
 // end sends a signal that ends the process, and waits for that.
 func (e *entry) end(sig syscall.Signal) {
+	e.life.Lock()
+	defer e.life.Unlock()
 	e.mu.Lock()
 	command, ended := e.command, e.ended
-	e.command = nil
 	e.mu.Unlock()
 	if command == nil {
 		return
@@ -233,6 +239,9 @@
 	_ = command.Process.Signal(syscall.SIGCONT)
 	_ = command.Process.Signal(sig)
 	<-ended
+	e.mu.Lock()
+	e.command = nil
+	e.mu.Unlock()
 }
 
 func (e *entry) kill() { e.end(syscall.SIGKILL) }
