--- a/internal/soak/soaker/soak_test.go
+++ b/internal/soak/soaker/soak_test.go
@@ -41,7 +41,11 @@
 	faultTime  = 6 * time.Second
 	settleTime = time.Minute
 	jobEvery   = 60 * time.Millisecond
-	tasksOfJob = 4
+	// restartPause is how long the platform takes to start a process again that ended by itself.
+	restartPause = 100 * time.Millisecond
+	lowestPort   = 12_000
+	highestPort  = 32_000
+	tasksOfJob   = 4
 )
 
 const config = `{"version":3,"routes":[{"name":"orders","hostname":"a.example","path-prefix":"/orders/","service":"kitchen",` +
@@ -89,6 +93,8 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
+	// isOver reports that the process is not to be started any more.
+	isOver bool
 }
 
 // cell is the platform, its entry hosts and what callers were told.
@@ -149,14 +155,12 @@
 	return c
 }
 
-// freePorts returns neighbouring ports that nothing used just now.
+// freePorts returns neighbouring ports that nothing used just now, below those that outgoing
+// connections take.
 func freePorts(t *testing.T, count int) []int {
-	for range 100 {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		port := socket.Addr().(*net.TCPAddr).Port
-		_ = socket.Close()
-		if port+count < 65_000 && areFree(port, count) {
+	for range 1000 {
+		port := lowestPort + rand.IntN(highestPort-lowestPort-count)
+		if areFree(port, count) {
 			ports := make([]int, count)
 			for i := range ports {
 				ports[i] = port + i
@@ -189,7 +193,7 @@
 	require.NoError(c.t, os.WriteFile(e.settings, []byte(text), 0o600))
 	c.entries = append(c.entries, e)
 	e.start(c.t)
-	c.t.Cleanup(e.kill)
+	c.t.Cleanup(e.finish)
 }
 
 // start starts the process, unless it runs.
@@ -198,7 +202,7 @@
 	defer e.life.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.command != nil {
+	if e.command != nil || e.isOver {
 		return
 	}
 	log, err := os.OpenFile(e.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -213,9 +217,24 @@
 		_ = command.Wait()
 		_ = log.Close()
 		close(ended)
+		time.Sleep(restartPause)
+		e.restart(t, command)
 	}(e.ended)
 }
 
+// restart starts the process again if it ended by itself.
+func (e *entry) restart(t *testing.T, former *exec.Cmd) {
+	e.mu.Lock()
+	isAlone := e.command == former
+	if isAlone {
+		e.command = nil
+	}
+	e.mu.Unlock()
+	if isAlone {
+		e.start(t)
+	}
+}
+
 // signal sends a signal to the process, if it runs.
 func (e *entry) signal(sig syscall.Signal) {
 	e.mu.Lock()
@@ -232,6 +251,7 @@
 	defer e.life.Unlock()
 	e.mu.Lock()
 	command, ended := e.command, e.ended
+	e.command = nil
 	e.mu.Unlock()
 	if command == nil {
 		return
@@ -239,13 +259,18 @@
 	_ = command.Process.Signal(syscall.SIGCONT)
 	_ = command.Process.Signal(sig)
 	<-ended
-	e.mu.Lock()
-	e.command = nil
-	e.mu.Unlock()
 }
 
 func (e *entry) kill() { e.end(syscall.SIGKILL) }
 
+// finish ends the process for good.
+func (e *entry) finish() {
+	e.mu.Lock()
+	e.isOver = true
+	e.mu.Unlock()
+	e.kill()
+}
+
 func (c *cell) pause(most time.Duration) {
 	time.Sleep(time.Duration(c.random.Int64N(int64(most))))
 }
