--- a/internal/entry/deliverer/deliverer.go
+++ b/internal/entry/deliverer/deliverer.go
@@ -87,24 +87,23 @@
 func (d *Deliverer) keep(ctx context.Context, record journaler.Record) error {
 	isHere := !d.options.IsStoreDown()
 	if isHere && d.isHolderQuiet() {
-		return tryInTurn(ctx, record, d.keepHere, d.gather, d.options.Forwarder.Keep)
+		return tryInTurn(ctx, record, false, d.keepHere, d.gather, d.options.Forwarder.Keep)
 	}
 	err := d.gather(ctx, record)
-	if err == nil || errors.Is(err, storer.ErrNotKnown) && !d.options.View().IsSilent {
+	isOpen := errors.Is(err, storer.ErrNotKnown)
+	if err == nil || isOpen && !d.options.View().IsSilent {
 		// A holder that lives still has the record; another append would slow the store more.
 		return err
 	}
-	ways := []Way{func(context.Context, journaler.Record) error { return err }, d.keepHere, d.options.Forwarder.Keep}
 	if !isHere {
-		ways = []Way{ways[0], d.options.Forwarder.Keep}
+		return tryInTurn(ctx, record, isOpen, d.options.Forwarder.Keep)
 	}
-	return tryInTurn(ctx, record, ways...)
+	return tryInTurn(ctx, record, isOpen, d.keepHere, d.options.Forwarder.Keep)
 }
 
-// tryInTurn keeps a record in the first way that does it. An outcome that one way left open
-// is not called a refusal.
-func tryInTurn(ctx context.Context, record journaler.Record, ways ...Way) error {
-	isOpen := false
+// tryInTurn keeps a record in the first way that does it. An outcome that one way left open,
+// or one that was tried before, is not called a refusal.
+func tryInTurn(ctx context.Context, record journaler.Record, isOpen bool, ways ...Way) error {
 	var err error
 	for _, way := range ways {
 		if err = way(ctx, record); err == nil {
