--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -200,7 +200,7 @@
 		c.requireSound()
 	})
 	t.Run("a job that no holder began starts though a worker does not answer", func(t *testing.T) {
-		c := newCell(t, 2)
+		c := newCell(t, 3)
 		c.submit("a", describer.Queue{}, tasks(8))
 		c.run(4 * step)
 		c.fleet.Set("w-1", func(w *fencer.Worker) { w.IsSilent = true })
@@ -339,13 +339,21 @@
 	})
 	t.Run("a worker gets its first start only once a roster with it is kept", func(t *testing.T) {
 		c := newCell(t, 1)
+		c.submit("a", describer.Queue{}, tasks(12))
+		c.run(4 * step)
+		require.Len(t, c.starts, 4)
 		c.isStoreDown = true
-		c.submit("a", describer.Queue{}, tasks(1))
-		c.run(workTime)
-		require.Empty(t, c.starts)
+		c.fleet.Add(describer.Worker{
+			ID: "w-new", Service: "kitchen", Capacity: describer.Resources{MilliCPU: 4000, MemoryMB: 8000}, Incarnation: 1,
+		})
+		c.run(workTime + 4*step)
+		require.Len(t, c.starts, 8, "what had begun goes on")
+		for _, s := range c.starts {
+			require.Equal(t, "w-0", s.Worker.ID)
+		}
 		c.isStoreDown = false
 		c.run(4 * step)
-		require.Len(t, c.starts, 1)
+		require.Equal(t, "w-new", c.starts[8].Worker.ID)
 	})
 }
 
