Read the whole change again: one copy of each constant, a shorter constructor

Nothing changes in what runs. Seen and left: the connections in memory of the keeper's tests stand in those of the first core's cell too, which goes with it.

--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -125,48 +125,66 @@
 	}
 	options.Store = measurer.NewStore(options.Store, options.Scope, options.Clock)
 	options.Workers = measurer.NewWorkers(options.Workers, options.Scope, options.Clock)
-	k := &Keeper{options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), wakeClaims: make(chan struct{}, 1), heardTo: -1}
-	k.submitter = submitter.New(submitter.Options{
-		Store: options.Store, Clock: options.Clock, Logger: options.Logger, Kept: k.applyOwn,
-		HasAlternative: func() bool { return k.forwarder.HasHolder() },
-	})
-	k.forwarder = forwarder.New(forwarder.Options{
-		Self: options.Name, DataCentre: options.DataCentre, Messenger: options.Messenger, Hosts: k.hosts, Holder: k.otherHolder,
-		Keep:   k.submitter.Keep,
-		Status: func(ctx context.Context, id describer.JobID) forwarder.Answer { return k.answerer.Here(ctx, id) },
-		Glance: func(id describer.JobID) forwarder.Answer { return k.answerer.Glance(id) },
-	})
-	k.answerer = answerer.New(answerer.Options{Look: k.look, Peers: k.forwarder, Clock: options.Clock, ViewAge: viewAge})
+	k := &Keeper{
+		options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), heardTo: -1,
+		wakeClaims: make(chan struct{}, 1),
+	}
+	k.meetPeers()
+	k.serveCallers()
+	k.serveOperators()
+	return k
+}
+
+// meetPeers sets up what a host has to do with the others.
+func (k *Keeper) meetPeers() {
+	o := k.options
 	k.announcer = announcer.New(announcer.Options{
 		Self: journaler.Host{
-			Name: options.Name, Incarnation: options.Incarnation, Address: options.PeerAddress.String(),
-			DataCentre: options.DataCentre, Cores: options.Cores,
+			Name: o.Name, Incarnation: o.Incarnation, Address: o.PeerAddress.String(), DataCentre: o.DataCentre, Cores: o.Cores,
 		},
-		Store: options.Store, Clock: options.Clock, Logger: options.Logger,
+		Store: o.Store, Clock: o.Clock, Logger: o.Logger,
 	})
 	k.asker = asker.New(asker.Options{
-		Self: options.Name, DataCentre: options.DataCentre, Advisor: options.Advisor,
-		Messenger: options.Messenger, Hosts: k.hosts, Clock: options.Clock,
+		Self: o.Name, DataCentre: o.DataCentre, Advisor: o.Advisor, Messenger: o.Messenger, Hosts: k.hosts, Clock: o.Clock,
 	})
 	k.prober = prober.New(prober.Options{
-		Messenger: options.Messenger, Clock: options.Clock, Holder: k.otherClaim, Held: k.heldEpoch, Doubt: k.readClaims,
+		Messenger: o.Messenger, Clock: o.Clock, Holder: k.otherClaim, Held: k.heldEpoch, Doubt: k.readClaims,
 		Hosts: func() int { return len(k.hosts()) },
 	})
+	k.yielder = yielder.New(yielder.Options{
+		Self: o.Name, Cores: o.Cores, Messenger: o.Messenger, Hosts: k.hosts, IsReady: k.IsReady,
+	})
+}
+
+// serveCallers sets up the ways of records into the log and the answers about jobs.
+func (k *Keeper) serveCallers() {
+	o := k.options
+	k.submitter = submitter.New(submitter.Options{
+		Store: o.Store, Clock: o.Clock, Logger: o.Logger, Kept: k.applyOwn,
+		HasAlternative: func() bool { return k.forwarder.HasHolder() },
+	})
+	k.forwarder = forwarder.New(forwarder.Options{
+		Self: o.Name, DataCentre: o.DataCentre, Messenger: o.Messenger, Hosts: k.hosts, Holder: k.otherHolder,
+		Keep:   k.submitter.Keep,
+		Status: func(ctx context.Context, id describer.JobID) forwarder.Answer { return k.answerer.Here(ctx, id) },
+		Glance: func(id describer.JobID) forwarder.Answer { return k.answerer.Glance(id) },
+	})
+	k.answerer = answerer.New(answerer.Options{Look: k.look, Peers: k.forwarder, Clock: o.Clock, ViewAge: viewAge})
 	k.deliverer = deliverer.New(deliverer.Options{
-		Submitter: k.submitter, Forwarder: k.forwarder, View: k.prober.View, Clock: options.Clock, Scope: options.Scope,
+		Submitter: k.submitter, Forwarder: k.forwarder, View: k.prober.View, Clock: o.Clock, Scope: o.Scope,
 		IsStoreDown: k.isStoreDown,
 	})
+}
+
+// serveOperators sets up the operators' commands.
+func (k *Keeper) serveOperators() {
 	k.teller = teller.New(teller.Options{
 		Read: k.read, Keep: k.deliverer.Keep, Explain: k.explain,
 		IsRefused: func(err error) bool { return errors.Is(err, storer.ErrRefused) },
 	})
-	if options.Messenger != nil {
-		messenger.Handle(options.Messenger, commandKind, k.executeForPeer)
+	if k.options.Messenger != nil {
+		messenger.Handle(k.options.Messenger, commandKind, k.executeForPeer)
 	}
-	k.yielder = yielder.New(yielder.Options{
-		Self: options.Name, Cores: options.Cores, Messenger: options.Messenger, Hosts: k.hosts, IsReady: k.IsReady,
-	})
-	return k
 }
 
 // Run follows the store and takes part in the cell until ctx ends.
--- a/internal/fleet/governor/governor.go
+++ b/internal/fleet/governor/governor.go
@@ -18,9 +18,6 @@
 	"lentilrock.example/internal/fleet/tasker"
 )
 
-// retryPause is the pause before an order without an answer is sent again.
-const retryPause = 300 * time.Millisecond
-
 // Governor paces the tasks that fill.
 type Governor struct {
 	*registrar.Registrar
@@ -40,7 +37,7 @@
 		percent = w.Pacer.Next(g.Now, worstReading(w))
 	}
 	for _, r := range w.Runs {
-		isUnderWay := r.PaceSent == percent && g.Now.Sub(r.PaceSentAt) < retryPause
+		isUnderWay := r.PaceSent == percent && g.Now.Sub(r.PaceSentAt) < minder.RetryPause
 		if !chooser.IsFilling(r) || r.Stopping || r.Percent == percent || isUnderWay {
 			continue
 		}
--- a/internal/fleet/minder/minder.go
+++ b/internal/fleet/minder/minder.go
@@ -23,6 +23,11 @@
 const (
 	// Silence is how long a worker may go without an answer before nothing is started there.
 	Silence = 1500 * time.Millisecond
+	// SilentAfter is when a worker that does not answer counts as silent: its runs are kept, and
+	// copies are worth their room.
+	SilentAfter = 800 * time.Millisecond
+	// RetryPause is the pause before an order without an answer is sent again.
+	RetryPause = 300 * time.Millisecond
 	// minStartTimeout is added to three round trips before a start counts as unanswered.
 	minStartTimeout = 120 * time.Millisecond
 	// maxStartTimeout bounds it.
--- a/internal/fleet/placer/copy.go
+++ b/internal/fleet/placer/copy.go
@@ -1,18 +1,13 @@
 package placer
 
 import (
-	"time"
-
 	"lentilrock.example/internal/fleet/chooser"
+	"lentilrock.example/internal/fleet/minder"
 	"lentilrock.example/internal/fleet/tasker"
 )
 
-const (
-	// maxCopies bounds the runs of a task side by side.
-	maxCopies = 2
-	// silentAfter is when a worker that does not answer is worth a copy elsewhere.
-	silentAfter = 800 * time.Millisecond
-)
+// maxCopies bounds the runs of a task side by side.
+const maxCopies = 2
 
 // placeCopies starts copies of slow tasks, and of tasks at workers that do not answer, where
 // the step allows them and room is left over.
@@ -39,6 +34,6 @@
 		return false
 	}
 	w, found := p.Workers[t.Run.Worker]
-	isSilent := found && w.IsFailing && p.Now.Sub(w.AnsweredAt) > silentAfter
+	isSilent := found && w.IsFailing && p.Now.Sub(w.AnsweredAt) > minder.SilentAfter
 	return isSilent || t.IsSlow(p.Now)
 }
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -25,14 +25,8 @@
 	"lentilrock.example/internal/fleet/settler"
 )
 
-const (
-	// renewalSlack is how long a former holder may go on renewing until a worker refuses it.
-	renewalSlack = 2 * time.Second
-	// silentAfter is when the runs at a worker that does not answer are kept.
-	silentAfter = 800 * time.Millisecond
-	// retryPause is the pause before an order without an answer is sent again.
-	retryPause = 300 * time.Millisecond
-)
+// renewalSlack is how long a former holder may go on renewing until a worker refuses it.
+const renewalSlack = 2 * time.Second
 
 // Watcher follows workers.
 type Watcher struct {
@@ -127,7 +121,7 @@
 			h.Options.Count("runs_lost")
 			h.Report("A run is lost with its worker.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID)
 			h.settler.Settle(r)
-		case r.Stopping && r.StopAckedAt.IsZero() && h.Now.Sub(r.StopSentAt) >= retryPause && !w.IsFailing:
+		case r.Stopping && r.StopAckedAt.IsZero() && h.Now.Sub(r.StopSentAt) >= minder.RetryPause && !w.IsFailing:
 			h.settler.SendStop(r)
 		}
 	}
@@ -136,7 +130,7 @@
 // watchSilence keeps the runs at a worker that does not answer, so that a later holder need
 // not suspect it of any other, and takes the worker back when it answers.
 func (h *Watcher) watchSilence(w *minder.Worker) {
-	isSilent := w.IsSynced && w.IsFailing && h.Now.Sub(w.AnsweredAt) > silentAfter
+	isSilent := w.IsSynced && w.IsFailing && h.Now.Sub(w.AnsweredAt) > minder.SilentAfter
 	if w.IsSilent == isSilent || !w.IsSynced {
 		return
 	}
