Count a machine as down until a list that was asked for later shows it up again

Cause, found when the change was read again: a list of machines that was asked for before an upkeep began and read after its answer showed the machine as up, so the next one could leave beside it, one more than the wave allows.

Test, red before: TestUpkeep "a list that was asked for before an upkeep began ...".

--- a/internal/entry/holder/duty.go
+++ b/internal/entry/holder/duty.go
@@ -16,7 +16,8 @@
 	for ctx.Err() == nil {
 		pauser.Pause(ctx, h.options.Clock, machinesEvery)
 		isNeeded := false
-		h.with(func(_ time.Time, d *dispatcher.Dispatcher) { isNeeded = d.NeedsMachines() })
+		var asked time.Time
+		h.with(func(now time.Time, d *dispatcher.Dispatcher) { isNeeded, asked = d.NeedsMachines(), now })
 		if !isNeeded {
 			continue
 		}
@@ -27,7 +28,7 @@
 			h.options.Logger.Warn("upkeep: The machines can't be listed.", zap.String("error", err.Error()))
 			continue
 		}
-		h.with(func(now time.Time, d *dispatcher.Dispatcher) { d.SetMachines(now, machines) })
+		h.with(func(_ time.Time, d *dispatcher.Dispatcher) { d.SetMachines(asked, machines) })
 		h.Kick()
 	}
 }
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -185,9 +185,9 @@
 // NeedsMachines reports whether a wave is open, for which all machines must be listed.
 func (d *Dispatcher) NeedsMachines() bool { return d.evacuator.HasOpenWaves() }
 
-// SetMachines takes in the list of all machines.
-func (d *Dispatcher) SetMachines(now time.Time, machines []describer.Machine) {
-	d.evacuator.SetMachines(now, machines)
+// SetMachines takes in the list of all machines, which was asked for at askedAt.
+func (d *Dispatcher) SetMachines(askedAt time.Time, machines []describer.Machine) {
+	d.evacuator.SetMachines(askedAt, machines)
 }
 
 // UpkeepAnswered takes in what became of an order to take a machine down.
--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -83,6 +83,30 @@
 		require.Equal(t, 3, c.machines.Done(1))
 		require.Equal(t, 1, c.machines.MostDown())
 	})
+	t.Run("a list that was asked for before an upkeep began does not bring its machine back", func(t *testing.T) {
+		c, wave := newWave(t, 3, 1)
+		asked, err := c.machines.List(t.Context())
+		require.NoError(t, err)
+		askedAt := c.clock.Now()
+		c.d.SetWave(askedAt, wave)
+		for range 500 {
+			c.run(step)
+			c.d.SetMachines(askedAt, asked)
+			if c.machines.Done(1) > 0 {
+				break
+			}
+		}
+		require.Equal(t, 1, c.machines.Done(1))
+		for range 9 {
+			c.step()
+			c.clock.Advance(step)
+			c.d.SetMachines(askedAt, asked)
+		}
+		require.Equal(t, 1, c.machines.Done(1))
+		c.run(20 * time.Second)
+		require.Equal(t, 3, c.machines.Done(1))
+		require.Equal(t, 1, c.machines.MostDown())
+	})
 	t.Run("machines that are gone hold no wave up", func(t *testing.T) {
 		c, wave := newWave(t, 2, 1)
 		wave.Machines = append(wave.Machines, "m-gone")
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -46,16 +46,16 @@
 	settler  *settler.Settler
 	waves    map[int64]*wave
 	machines map[string]describer.Machine
-	// listedAt is when the machines were listed; zero before the first list.
+	// listedAt is when the newest list of the machines was asked for; zero before the first.
 	listedAt time.Time
 }
 
 // wave is a wave with how far it is.
 type wave struct {
 	describer.Wave
-	seenAt time.Time
-	// done are the machines whose upkeep has begun.
-	done map[string]bool
+	// done are the machines whose upkeep has begun; beganAt has when this holder heard so.
+	done    map[string]bool
+	beganAt map[string]time.Time
 	// leaving are the machines that get nothing new, since when.
 	leaving map[string]time.Time
 	// ordered are the machines whose order is open, since when.
@@ -75,7 +75,7 @@
 		return
 	}
 	w := &wave{
-		Wave: asked, seenAt: now, done: make(map[string]bool),
+		Wave: asked, done: make(map[string]bool), beganAt: make(map[string]time.Time),
 		leaving: make(map[string]time.Time), ordered: make(map[string]time.Time),
 	}
 	for _, id := range e.State.Waves[asked.Number].Done {
@@ -96,9 +96,9 @@
 
 func (w *wave) isReportedCompleted() bool { return w.reported != nil && w.reported.IsCompleted }
 
-// SetMachines takes in the list of all machines.
-func (e *Evacuator) SetMachines(now time.Time, machines []describer.Machine) {
-	e.listedAt = now
+// SetMachines takes in the list of all machines, which was asked for at askedAt.
+func (e *Evacuator) SetMachines(askedAt time.Time, machines []describer.Machine) {
+	e.listedAt = askedAt
 	e.machines = make(map[string]describer.Machine, len(machines))
 	for _, m := range machines {
 		e.machines[m.ID] = m
@@ -183,7 +183,10 @@
 	for _, id := range w.Machines {
 		_, isOrdered := w.ordered[id]
 		_, isLeaving := w.leaving[id]
-		if state := e.machines[id].State; !isLeaving && (isOrdered || state == describer.MachineInUpkeep) {
+		// A list that was asked for before the upkeep began shows the machine as it was.
+		isListOld := !w.beganAt[id].IsZero() && !e.listedAt.After(w.beganAt[id])
+		isDown := e.machines[id].State == describer.MachineInUpkeep || isListOld
+		if !isLeaving && (isOrdered || isDown) {
 			count++
 		}
 	}
@@ -299,13 +302,9 @@
 // began notes that a machine is down: nothing runs there any more.
 func (e *Evacuator) began(w *wave, id string) {
 	worker := e.workerOf(id)
-	w.done[id] = true
+	w.done[id], w.beganAt[id] = true, e.Now
 	delete(w.ordered, id)
 	delete(w.leaving, id)
-	if m, isThere := e.machines[id]; isThere {
-		m.State = describer.MachineInUpkeep
-		e.machines[id] = m
-	}
 	if worker != nil {
 		for _, r := range worker.Runs {
 			e.settler.Settle(r)
