Call what the project has instead of writing it again

- Keys of a map in order were gathered by hand in six places; they call sorter.Keys.
The progress of waves is kept in the order of their numbers now; it was the map's before.
- The host filtered, ordered and cut the rows of a query in two copies; tabler's Select and Filter do it for both.
A host of `lentilrock serve` now says "apply order: " before a fault of an order, as the other one did.
- "The job's submission was read" was checked by hand in four places; journaler's Find does it.
The mutant of what is left of ended jobs follows the new wording.
- The fold kept the offsets of rosters, hosts and drains in three ways; one map by key does.
- The dispatcher was told of the operators' settings in two copies.
- The saver's Take was one function for three kinds of records.

--- a/internal/entry/announcer/announcer.go
+++ b/internal/entry/announcer/announcer.go
@@ -10,9 +10,7 @@
 package announcer
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +18,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/node/pauser"
@@ -126,11 +125,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	live := make([]journaler.Host, 0, len(hosts))
-	for _, h := range hosts {
-		if readAt.Sub(a.heard[h.Name]) <= hostSilence {
-			live = append(live, h)
+	for _, name := range sorter.Keys(hosts) {
+		if readAt.Sub(a.heard[name]) <= hostSilence {
+			live = append(live, hosts[name])
 		}
 	}
-	slices.SortFunc(live, func(x, y journaler.Host) int { return cmp.Compare(x.Name, y.Name) })
 	return live
 }
--- a/internal/entry/elector/elector.go
+++ b/internal/entry/elector/elector.go
@@ -1,6 +1,7 @@
 // Package elector decides when a host claims the cell: when there is no holder, when the
 // holder left or ended, and when it has fallen silent in a log that could be read all the
-// while: sooner where it does not answer its peers either, later where it does. Large hosts claim before small ones, and those near the store before the others.
+// while: sooner where it does not answer its peers either, later where it does. Large hosts
+// claim before small ones, and those near the store before the others.
 //
 // # Usage
 //
--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -48,7 +48,7 @@
 	Relist time.Duration
 
 	// Wake, where not nil, ends a pause early.
-	Wake <-chan struct{}
+	Wake pauser.Waker
 	// isDown reports that the last read failed.
 	isDown bool
 }
@@ -91,26 +91,13 @@
 			from = entries[len(entries)-1].Offset + 1
 		}
 		f.Apply(entries)
-		f.pause(ctx)
+		if wait := f.Pause(); wait > 0 {
+			f.Wake.Pause(ctx, f.Clock, wait)
+		}
 	}
 	return ctx.Err()
 }
 
-// pause waits until the next read is due, or Wake says so.
-func (f *Follower) pause(ctx context.Context) {
-	wait := f.Pause()
-	if wait <= 0 {
-		return
-	}
-	timer := f.Clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.Chan():
-	case <-f.Wake:
-	case <-ctx.Done():
-	}
-}
-
 func (f *Follower) fail(err error) {
 	if !f.isDown {
 		f.Logger.Warn("store: The topic can't be read.", zap.Stringer("topic", f.Topic), zap.String("error", err.Error()))
--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -103,8 +103,8 @@
 type Holder struct {
 	options  Options
 	cancel   context.CancelFunc
-	wake     chan struct{}
-	saveWake chan struct{}
+	wake     pauser.Waker
+	saveWake pauser.Waker
 	sequence int64
 	// lookers are the workers that a goroutine looks after; With guards them.
 	lookers map[string]bool
@@ -120,7 +120,7 @@
 // New returns a holder that does nothing yet.
 func New(options Options) *Holder {
 	return &Holder{
-		options: options, wake: make(chan struct{}, 1), saveWake: make(chan struct{}, 1),
+		options: options, wake: pauser.NewWaker(), saveWake: pauser.NewWaker(),
 		lookers: make(map[string]bool), keptAt: options.Clock.Now(),
 		saved: make(chan struct{}),
 	}
@@ -168,12 +168,7 @@
 func (h *Holder) Cancel() { h.cancel() }
 
 // Kick has the dispatcher look at what is due soon.
-func (h *Holder) Kick() {
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
-}
+func (h *Holder) Kick() { h.wake.Wake() }
 
 func (h *Holder) with(change func(now time.Time, d *dispatcher.Dispatcher)) bool {
 	return h.options.With(h, change)
@@ -183,13 +178,7 @@
 func (h *Holder) loop(ctx context.Context) {
 	clock := h.options.Clock
 	for ctx.Err() == nil {
-		timer := clock.NewTimer(tickEvery)
-		select {
-		case <-h.wake:
-		case <-timer.Chan():
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		h.wake.Pause(ctx, clock, tickEvery)
 		began := clock.Now()
 		var orders []dispatcher.Order
 		var hasProgress, isFenced bool
@@ -213,10 +202,7 @@
 			go h.carryOut(ctx, order)
 		}
 		if hasProgress {
-			select {
-			case h.saveWake <- struct{}{}:
-			default:
-			}
+			h.saveWake.Wake()
 		}
 		pauser.Pause(ctx, clock, min(max(tickGap, tickShare*clock.Since(began)), maxTickGap))
 	}
@@ -301,14 +287,9 @@
 	defer close(h.saved)
 	clock := h.options.Clock
 	for ctx.Err() == nil {
-		timer := clock.NewTimer(beatEvery)
-		select {
-		case <-h.saveWake:
+		if h.saveWake.Pause(ctx, clock, beatEvery) {
 			pauser.Pause(ctx, clock, saveLinger)
-		case <-timer.Chan():
-		case <-ctx.Done():
 		}
-		timer.Stop()
 		var records []journaler.Record
 		batch := int64(0)
 		isHolder := h.with(func(_ time.Time, d *dispatcher.Dispatcher) {
--- a/internal/entry/keeper/elect.go
+++ b/internal/entry/keeper/elect.go
@@ -108,7 +108,7 @@
 		k.triedEpoch, k.triedAt = epoch, k.now()
 		k.mu.Unlock()
 	}
-	k.readClaims()
+	k.wakeClaims.Wake()
 	k.options.Logger.Info("claim: Claimed.", zap.Int64("epoch", epoch), zap.String("reason", reason), zap.String("outcome", outcome))
 }
 
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -109,11 +109,16 @@
 	if isNew := k.catalog.TakeOperators(entries); !isNew || k.holder == nil {
 		return
 	}
+	k.tellOperators(k.now())
+	k.holder.Kick()
+}
+
+// tellOperators tells the dispatcher what operators have set; the caller has the lock.
+func (k *Keeper) tellOperators(now time.Time) {
 	k.dispatcher.SetConfig(k.catalog.Config)
 	for _, wave := range k.catalog.Waves {
-		k.dispatcher.SetWave(k.now(), wave)
+		k.dispatcher.SetWave(now, wave)
 	}
-	k.holder.Kick()
 }
 
 func (k *Keeper) resetWorkers(entries []storer.Entry) {
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -17,12 +17,9 @@
 	options := k.dispatchOptions()
 	options.Epoch, options.Host, options.Report = claim.Epoch, k.options.Name, k.report
 	k.dispatcher = dispatcher.New(options, k.state, now)
-	k.dispatcher.SetConfig(k.catalog.Config)
+	k.tellOperators(now)
 	k.dispatcher.SetAskers(len(k.liveHosts()))
 	k.dispatcher.SetWorkers(now, k.catalog.Workers())
-	for _, wave := range k.catalog.Waves {
-		k.dispatcher.SetWave(now, wave)
-	}
 	k.holder = holder.New(holder.Options{
 		Epoch: claim.Epoch, Store: k.options.Store, Workers: k.options.Workers, Machines: k.options.Machines, Clock: k.options.Clock,
 		Logger: k.options.Logger, With: k.with, Fenced: k.resign, Kept: k.applyOwn, Ask: k.asker.Ask,
@@ -108,11 +105,3 @@
 	}
 	return h.Epoch()
 }
-
-// readClaims has the claims read at once.
-func (k *Keeper) readClaims() {
-	select {
-	case k.wakeClaims <- struct{}{}:
-	default:
-	}
-}
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -40,6 +40,7 @@
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/node/pauser"
 	"lentilrock.example/internal/peer/messenger"
 	"lentilrock.example/internal/query/teller"
 )
@@ -86,7 +87,7 @@
 	chronicle chronicler.Chronicler
 	prober    *prober.Prober
 	// wakeClaims has the claims read at once.
-	wakeClaims chan struct{}
+	wakeClaims pauser.Waker
 	yielder    *yielder.Yielder
 
 	mu    sync.Mutex
@@ -127,7 +128,7 @@
 	options.Workers = measurer.NewWorkers(options.Workers, options.Scope, options.Clock)
 	k := &Keeper{
 		options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), heardTo: -1,
-		wakeClaims: make(chan struct{}, 1),
+		wakeClaims: pauser.NewWaker(),
 	}
 	k.meetPeers()
 	k.serveCallers()
@@ -148,7 +149,7 @@
 		Self: o.Name, DataCentre: o.DataCentre, Advisor: o.Advisor, Messenger: o.Messenger, Hosts: k.hosts, Clock: o.Clock,
 	})
 	k.prober = prober.New(prober.Options{
-		Messenger: o.Messenger, Clock: o.Clock, Holder: k.otherClaim, Held: k.heldEpoch, Doubt: k.readClaims,
+		Messenger: o.Messenger, Clock: o.Clock, Holder: k.otherClaim, Held: k.heldEpoch, Doubt: k.wakeClaims.Wake,
 		Hosts: func() int { return len(k.hosts()) },
 	})
 	k.yielder = yielder.New(yielder.Options{
--- a/internal/entry/keeper/submit.go
+++ b/internal/entry/keeper/submit.go
@@ -61,7 +61,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	view := answerer.View{ReadAt: k.jobsAt}
-	if entry, found := k.state.Jobs[id]; found && entry.Job != nil {
+	if entry, found := k.state.Find(id); found {
 		view.IsKnown, view.State = true, entry.JobState()
 	}
 	return view
--- a/internal/fleet/adviser/adviser.go
+++ b/internal/fleet/adviser/adviser.go
@@ -18,6 +18,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"lentilrock.example/internal/container/sorter"
 )
 
 const (
@@ -79,15 +81,7 @@
 // Drop forgets a ticket that the worker refused.
 func (b *Book) Drop(worker string) {
 	delete(b.tickets, worker)
-	b.sortHolders()
-}
-
-func (b *Book) sortHolders() {
-	b.holders = b.holders[:0]
-	for worker := range b.tickets {
-		b.holders = append(b.holders, worker)
-	}
-	slices.Sort(b.holders)
+	b.holders = sorter.Keys(b.tickets)
 }
 
 // MayAsk reports whether no question is under way and none failed just now.
@@ -148,7 +142,7 @@
 			b.tickets[id] = Ticket{Value: value, Incarnation: incarnation, Until: until}
 		}
 	}
-	b.sortHolders()
+	b.holders = sorter.Keys(b.tickets)
 	return good
 }
 
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -11,6 +11,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -238,15 +239,7 @@
 
 // HasLabel reports whether the worker has a label; each has the empty one.
 func (w Worker) HasLabel(label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, l := range w.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return label == "" || slices.Contains(w.Labels, label)
 }
 
 // StepRef names a step of an occurrence of a job.
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -19,10 +19,9 @@
 package dispatcher
 
 import (
-	"slices"
-	"strings"
 	"time"
 
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/evacuator"
 	"lentilrock.example/internal/fleet/forgetter"
@@ -62,12 +61,9 @@
 	s, g := settler.New(r), governor.New(r)
 	d := &Dispatcher{registrar: r, settler: s, governor: g, watcher: watcher.New(r, s, g), placer: placer.New(r, s), evacuator: evacuator.New(r, s)}
 	entries := make([]*journaler.Entry, 0, len(state.Jobs))
-	for _, entry := range state.Jobs {
-		entries = append(entries, entry)
-	}
-	slices.SortFunc(entries, func(a, b *journaler.Entry) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	for _, entry := range entries {
-		d.JobChanged(now, entry)
+	for _, id := range sorter.Keys(state.Jobs) {
+		entries = append(entries, state.Jobs[id])
+		d.JobChanged(now, state.Jobs[id])
 	}
 	d.watcher.Suspect(state.Roster, entries)
 	return d
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -16,6 +16,7 @@
 	"slices"
 	"time"
 
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/minder"
@@ -112,12 +113,7 @@
 	if e.listedAt.IsZero() || now.Sub(e.ClaimedAt) < formerHolderTime {
 		return
 	}
-	numbers := make([]int64, 0, len(e.waves))
-	for number := range e.waves {
-		numbers = append(numbers, number)
-	}
-	slices.Sort(numbers)
-	for _, number := range numbers {
+	for _, number := range sorter.Keys(e.waves) {
 		e.tickWave(e.waves[number])
 	}
 }
@@ -145,7 +141,7 @@
 		return
 	}
 	e.choose(w)
-	for _, id := range sortedKeys(w.leaving) {
+	for _, id := range sorter.Keys(w.leaving) {
 		e.evacuate(w, id)
 	}
 	e.report(w)
@@ -311,7 +307,7 @@
 		}
 		worker.Lease.LapseAt = time.Time{}
 	}
-	e.Saver.WaveChanged(journaler.WaveProgress{Number: w.Number, Done: sortedKeys(w.done)})
+	e.Saver.WaveChanged(journaler.WaveProgress{Number: w.Number, Done: sorter.Keys(w.done)})
 }
 
 // report orders a report where the operators should hear something new.
@@ -330,12 +326,3 @@
 		w.reported = nil
 	}
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -257,10 +257,9 @@
 	// Drains are the drains and their ends, by kind and name.
 	Drains map[string]Drain
 	// Waves has how far waves of upkeep are, by their numbers.
-	Waves        map[int64]WaveProgress
-	rosterOffset int64
-	hostOffsets  map[string]int64
-	drainOffsets map[string]int64
+	Waves map[int64]WaveProgress
+	// offsets has where the newest records of the roster, the hosts and the drains stand, by key.
+	offsets map[string]int64
 }
 
 // New returns the state before any record.
@@ -268,14 +267,14 @@
 	return &State{
 		ClaimOffset: -1, HolderOffset: -1,
 		Waves: make(map[int64]WaveProgress), Drains: make(map[string]Drain),
-		Jobs: make(map[describer.JobID]*Entry), Hosts: make(map[string]Host), hostOffsets: make(map[string]int64), drainOffsets: make(map[string]int64),
+		Jobs: make(map[describer.JobID]*Entry), Hosts: make(map[string]Host), offsets: make(map[string]int64),
 	}
 }
 
-// IsKnown reports whether the log had the submission of a job.
-func (s *State) IsKnown(id describer.JobID) bool {
+// Find returns the entry of a job; false where the log had no submission of it.
+func (s *State) Find(id describer.JobID) (*Entry, bool) {
 	entry, found := s.Jobs[id]
-	return found && entry.Job != nil
+	return entry, found && entry.Job != nil
 }
 
 // Pending counts the jobs of a queue of which nothing has begun; an empty name counts all.
@@ -351,8 +350,8 @@
 		return errors.Errorf("read roster: %w", err)
 	}
 	s.heard(roster.Epoch, offset)
-	if offset >= s.rosterOffset {
-		s.Roster, s.rosterOffset = roster, offset
+	if offset >= s.offsets[r.Key] {
+		s.Roster, s.offsets[r.Key] = roster, offset
 	}
 	return nil
 }
@@ -360,14 +359,14 @@
 // applyDrain takes in the newest word on a drain; operators' clocks may be apart, so the log's
 // order decides.
 func (s *State) applyDrain(r Record, offset int64) error {
-	if last, found := s.drainOffsets[r.Key]; found && offset < last {
+	if offset < s.offsets[r.Key] {
 		return nil
 	}
 	var drain Drain
 	if err := cbor.Unmarshal(r.Value, &drain); err != nil {
 		return errors.Errorf("read drain: %w", err)
 	}
-	s.Drains[r.Key[len(drainPrefix):]], s.drainOffsets[r.Key] = drain, offset
+	s.Drains[r.Key[len(drainPrefix):]], s.offsets[r.Key] = drain, offset
 	return nil
 }
 
@@ -392,19 +391,19 @@
 
 func (s *State) applyHost(r Record, offset int64) error {
 	name := r.Key[len(hostPrefix):]
-	if offset < s.hostOffsets[name] {
+	if offset < s.offsets[r.Key] {
 		return nil
 	}
 	if len(r.Value) == 0 {
 		delete(s.Hosts, name)
-		s.hostOffsets[name] = offset
+		s.offsets[r.Key] = offset
 		return nil
 	}
 	var host Host
 	if err := cbor.Unmarshal(r.Value, &host); err != nil {
 		return errors.Errorf("read host %s: %w", name, err)
 	}
-	s.Hosts[name], s.hostOffsets[name] = host, offset
+	s.Hosts[name], s.offsets[r.Key] = host, offset
 	return nil
 }
 
--- a/internal/fleet/saver/saver.go
+++ b/internal/fleet/saver/saver.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/minder"
@@ -82,6 +83,26 @@
 // the other records are returned.
 func (s *Saver) Take(epoch int64, workers []*minder.Worker) ([]journaler.Record, int64, error) {
 	s.taken++
+	records, jobFaults := s.jobRecords(epoch, workers)
+	for _, id := range s.forgotten {
+		records = append(records, journaler.ForgetProgress(id))
+	}
+	s.forgotten = nil
+	waves, waveFaults := s.waveRecords(epoch)
+	records = append(records, waves...)
+	faults := errors.Join(jobFaults, waveFaults)
+	if s.isRosterOld {
+		record, err := s.roster(epoch, workers)
+		if err != nil {
+			return records, s.taken, errors.Join(faults, errors.Errorf("roster: %w", err))
+		}
+		records = append(records, record)
+	}
+	return records, s.taken, faults
+}
+
+// jobRecords returns the progress of the changed jobs, in the order of their ids.
+func (s *Saver) jobRecords(epoch int64, workers []*minder.Worker) ([]journaler.Record, error) {
 	silent := make(map[string]bool)
 	for _, w := range workers {
 		silent[w.Info.ID] = w.IsSilent
@@ -105,11 +126,15 @@
 		j.Batch = s.taken
 		records = append(records, record)
 	}
-	for _, id := range s.forgotten {
-		records = append(records, journaler.ForgetProgress(id))
-	}
-	s.forgotten = nil
-	for number, w := range s.waves {
+	return records, faults
+}
+
+// waveRecords returns how far the changed waves are, in the order of their numbers.
+func (s *Saver) waveRecords(epoch int64) ([]journaler.Record, error) {
+	var records []journaler.Record
+	var faults error
+	for _, number := range sorter.Keys(s.waves) {
+		w := s.waves[number]
 		w.Epoch = epoch
 		record, err := journaler.NewWave(w)
 		if err != nil {
@@ -119,14 +144,7 @@
 		records = append(records, record)
 		delete(s.waves, number)
 	}
-	if s.isRosterOld {
-		record, err := s.roster(epoch, workers)
-		if err != nil {
-			return records, s.taken, errors.Join(faults, errors.Errorf("roster: %w", err))
-		}
-		records = append(records, record)
-	}
-	return records, s.taken, faults
+	return records, faults
 }
 
 // roster returns the record of the workers at which runs may be.
--- a/internal/fleet/settler/settler.go
+++ b/internal/fleet/settler/settler.go
@@ -49,7 +49,7 @@
 	if r.Task != nil {
 		r.Task.SaveCheckpoint(running.Checkpoint)
 	}
-	if r.Task == nil && s.Now.Sub(r.SentAt) < unknownGrace && !s.State.IsKnown(running.Task.Job) {
+	if r.Task == nil && s.isNew(r) {
 		s.link(r)
 		return
 	}
@@ -58,6 +58,12 @@
 	}
 }
 
+// isNew reports whether the log may still tell of a run's job.
+func (s *Settler) isNew(r *tasker.Run) bool {
+	_, isKnown := s.State.Find(r.Ref.Job)
+	return !isKnown && s.Now.Sub(r.SentAt) < unknownGrace
+}
+
 // Adopt takes in a run that this holder did not start. The newest run of a task stays.
 func (s *Settler) Adopt(w *minder.Worker, running orderer.Running) *tasker.Run {
 	r := &tasker.Run{
@@ -92,11 +98,12 @@
 
 // chargeOf returns the room that a task takes; one that is not known takes all of it.
 func (s *Settler) chargeOf(w *minder.Worker, ref describer.TaskRef) describer.Resources {
-	if !s.State.IsKnown(ref.Job) || ref.Step >= len(s.State.Jobs[ref.Job].Job.Steps) {
+	entry, found := s.State.Find(ref.Job)
+	if !found || ref.Step >= len(entry.Job.Steps) {
 		s.Report("A worker runs what is not known.", "worker", w.Info.ID, "task", ref.String())
 		return w.Info.Capacity
 	}
-	return s.State.Jobs[ref.Job].Job.Steps[ref.Step].Charge()
+	return entry.Job.Steps[ref.Step].Charge()
 }
 
 // prefer keeps the newer of two runs of a task and stops the other.
--- a/internal/query/executor/change.go
+++ b/internal/query/executor/change.go
@@ -157,7 +157,7 @@
 	if len(table.Missing) > 0 {
 		return nil, errors.Newf("not all jobs are known, nothing was cancelled: %s", strings.Join(table.Missing, "; "))
 	}
-	if err := filter(&table, where); err != nil {
+	if err := table.Filter(where); err != nil {
 		return nil, err
 	}
 	var ids []descriptor.JobID
--- a/internal/query/executor/executor.go
+++ b/internal/query/executor/executor.go
@@ -139,29 +139,12 @@
 	if err != nil {
 		return tabler.Table{}, err
 	}
-	if err := filter(&table, s.Where); err != nil {
+	if err := table.Select(s); err != nil {
 		return tabler.Table{}, err
 	}
-	if s.Order != nil {
-		if err := table.OrderBy(s.Order.Column, s.Order.Descending); err != nil {
-			return tabler.Table{}, err
-		}
-	}
-	if s.Limit != nil {
-		table.Limit(*s.Limit)
-	}
 	return table, nil
 }
 
-func filter(table *tabler.Table, conditions []parser.Condition) error {
-	for _, c := range conditions {
-		if err := table.Where(c.Column, tabler.Operator(c.Operator), c.Value); err != nil {
-			return errors.Errorf("apply where: %w", err)
-		}
-	}
-	return nil
-}
-
 // gather collects the rows of a noun from the whole cell, and names the data centres that
 // could not be reached.
 func (e *Executor) gather(ctx context.Context, noun string) (tabler.Table, error) {
--- /dev/null
+++ b/internal/query/tabler/select.go
@@ -0,0 +1,33 @@
+package tabler
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/query/parser"
+)
+
+// Select keeps the rows that a query asks for, in its order.
+func (t *Table) Select(s *parser.Show) error {
+	if err := t.Filter(s.Where); err != nil {
+		return err
+	}
+	if s.Order != nil {
+		if err := t.OrderBy(s.Order.Column, s.Order.Descending); err != nil {
+			return errors.Errorf("apply order: %w", err)
+		}
+	}
+	if s.Limit != nil {
+		t.Limit(*s.Limit)
+	}
+	return nil
+}
+
+// Filter keeps the rows for which all conditions hold.
+func (t *Table) Filter(conditions []parser.Condition) error {
+	for _, c := range conditions {
+		if err := t.Where(c.Column, Operator(c.Operator), c.Value); err != nil {
+			return errors.Errorf("apply where: %w", err)
+		}
+	}
+	return nil
+}
--- a/internal/query/teller/teller.go
+++ b/internal/query/teller/teller.go
@@ -120,25 +120,8 @@
 	}
 	var table tabler.Table
 	t.options.Read(func(k Known) { table = view(k) })
-	return table, filter(&table, s)
-}
-
-// filter keeps the rows that a query asks for, in its order.
-func filter(table *tabler.Table, s *parser.Show) error {
-	for _, c := range s.Where {
-		if err := table.Where(c.Column, tabler.Operator(c.Operator), c.Value); err != nil {
-			return errors.Errorf("apply where: %w", err)
-		}
-	}
-	if s.Order != nil {
-		if err := table.OrderBy(s.Order.Column, s.Order.Descending); err != nil {
-			return errors.Errorf("apply order: %w", err)
-		}
-	}
-	if s.Limit != nil {
-		table.Limit(*s.Limit)
-	}
-	return nil
+	err := table.Select(s)
+	return table, err
 }
 
 // cancel cancels a job, or all for which conditions hold.
@@ -167,7 +150,7 @@
 	var now time.Time
 	t.options.Read(func(k Known) {
 		now = k.Now
-		if entry, found := k.State.Jobs[id]; found && entry.Job != nil {
+		if entry, found := k.State.Find(id); found {
 			isKnown, state = true, entry.JobState()
 		}
 	})
--- a/internal/query/teller/view.go
+++ b/internal/query/teller/view.go
@@ -183,8 +183,8 @@
 	}
 	table := tabler.Table{Columns: []string{"what", "value"}}
 	t.options.Read(func(k Known) {
-		entry, found := k.State.Jobs[job]
-		if !found || entry.Job == nil {
+		entry, found := k.State.Find(job)
+		if !found {
 			return
 		}
 		addJob(&table, k, entry)
--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -13,12 +13,12 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/orderer"
 )
@@ -131,10 +131,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var infos []describer.Worker
-	for _, w := range f.workers {
-		infos = append(infos, w.Info)
+	for _, id := range sorter.Keys(f.workers) {
+		infos = append(infos, f.workers[id].Info)
 	}
-	slices.SortFunc(infos, func(a, b describer.Worker) int { return strings.Compare(a.ID, b.ID) })
 	return infos
 }
 
@@ -172,12 +171,7 @@
 	defer f.mu.Unlock()
 	w := f.workers[id]
 	f.settle(w)
-	var names []string
-	for name := range w.runs {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return sorter.Keys(w.runs)
 }
 
 func (f *Fleet) clockOf(w *Worker) time.Duration { return f.clock.Since(w.started) }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -68,7 +68,7 @@
 mutant "fence: a new holder asks all of the roster" internal/fleet/watcher/watcher.go \
   'range roster.Members' 'range []journaler.Member{}' $core 'TestTakeover/a_worker_that_the_list'
 mutant "fence: what is left of ended jobs takes room" internal/fleet/settler/settler.go \
-  'return s.State.Jobs[ref.Job].Job.Steps[ref.Step].Charge()' 'return describer.Resources{}' $core 'TestTakeover/what_is_left'
+  'return entry.Job.Steps[ref.Step].Charge()' 'return describer.Resources{}' $core 'TestTakeover/what_is_left'
 mutant "fence: overtaken answers are ignored" internal/fleet/watcher/look.go \
   'inventory.Clock < w.HeardClock' 'false' $core 'TestWorkers/an_answer'
 mutant "fence: ends are acknowledged once kept" internal/fleet/saver/saver.go \
