Do not build the list of workers where nothing in it changed

The store's read of the host list returns after a wait though nothing came, and the holder then copied, compared and sorted all workers under its lock. A read without records tells the dispatcher nothing now; the list that is read as a whole every 3 s still does.

Metrics and a log line copied the list to count it; the catalog says its size.

--- a/internal/entry/cataloger/cataloger.go
+++ b/internal/entry/cataloger/cataloger.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// Size returns how many workers are listed.
+func (c *Catalog) Size() int { return len(c.listed) }
+
 // Workers returns the host list.
 func (c *Catalog) Workers() []describer.Worker {
 	list := make([]describer.Worker, 0, len(c.listed))
--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -211,7 +211,7 @@
 // newLookers returns the workers that nothing looks after yet.
 func (h *Holder) newLookers(d *dispatcher.Dispatcher) []string {
 	var ids []string
-	for _, id := range d.WorkerIDs() {
+	for id := range d.WorkerIDs() {
 		if !h.lookers[id] {
 			h.lookers[id] = true
 			ids = append(ids, id)
--- a/internal/entry/keeper/follow.go
+++ b/internal/entry/keeper/follow.go
@@ -133,7 +133,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.catalog.TakeWorkers(entries, k.now())
-	k.workersListed()
+	// The dispatcher has the list already where nothing in it changed.
+	if len(entries) > 0 {
+		k.workersListed()
+	}
 }
 
 // workersListed tells the dispatcher of the host list; the caller has the lock.
--- a/internal/entry/keeper/hold.go
+++ b/internal/entry/keeper/hold.go
@@ -25,7 +25,7 @@
 		Logger: k.options.Logger, With: k.with, Fenced: k.resign, Kept: k.applyOwn, Ask: k.asker.Ask,
 	})
 	k.options.Logger.Info("claim: This host holds the cell.", zap.Int64("epoch", claim.Epoch),
-		zap.Int("jobs", len(k.state.Jobs)), zap.Int("workers", len(k.catalog.Workers())))
+		zap.Int("jobs", len(k.state.Jobs)), zap.Int("workers", k.catalog.Size()))
 	k.holder.Run(context.Background())
 }
 
--- a/internal/entry/keeper/keeper.go
+++ b/internal/entry/keeper/keeper.go
@@ -244,7 +244,7 @@
 	now := k.now()
 	counts := Counts{
 		ConfigVersion: k.catalog.Config.Version, Epoch: k.state.Claim.Epoch, Jobs: len(k.state.Jobs),
-		Workers: len(k.catalog.Workers()), JobsAge: now.Sub(k.jobsAt), ClaimsAge: now.Sub(k.claimsAt),
+		Workers: k.catalog.Size(), JobsAge: now.Sub(k.jobsAt), ClaimsAge: now.Sub(k.claimsAt),
 	}
 	if k.holder != nil {
 		counts.Holder = 1
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 package dispatcher
 
 import (
+	"iter"
 	"time"
 
 	"lentilrock.example/internal/container/sorter"
@@ -148,7 +149,7 @@
 }
 
 // WorkerIDs returns the workers to look after, in order.
-func (d *Dispatcher) WorkerIDs() []string { return d.watcher.WorkerIDs() }
+func (d *Dispatcher) WorkerIDs() iter.Seq[string] { return d.watcher.WorkerIDs() }
 
 // NextLook returns the next look at a worker; false means that the worker is gone.
 func (d *Dispatcher) NextLook(now time.Time, id string) (orderer.Look, bool) {
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -139,7 +139,7 @@
 		listed = c.fleet.Infos()
 	}
 	c.d.SetWorkers(c.clock.Now(), listed)
-	for _, id := range c.d.WorkerIDs() {
+	for id := range c.d.WorkerIDs() {
 		c.look(id)
 	}
 	if c.steps++; c.machines != nil && c.steps%10 == 0 && c.d.NeedsMachines() {
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -11,6 +11,7 @@
 package watcher
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -40,13 +41,16 @@
 	return &Watcher{Registrar: r, settler: s, governor: g}
 }
 
-// WorkerIDs returns the workers to look after, in order.
-func (h *Watcher) WorkerIDs() []string {
-	ids := make([]string, 0, len(h.Ordered))
-	for _, w := range h.Ordered {
-		ids = append(ids, w.Info.ID)
+// WorkerIDs returns the workers to look after, in order. It is read at each tick, so it makes
+// no list of them.
+func (h *Watcher) WorkerIDs() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, w := range h.Ordered {
+			if !yield(w.Info.ID) {
+				return
+			}
+		}
 	}
-	return ids
 }
 
 // SetWorkers takes in the host list. A worker that is missing is kept until it can run
