Let both networks in memory of the tests use one listener

The tests of the starter and of the keeper had a listener each with the same Accept, Close and Addr. A dial in the keeper's tests ends with its context now, as in the starter's. No assertion changes.

--- a/internal/entry/keeper/network_test.go
+++ b/internal/entry/keeper/network_test.go
@@ -11,40 +11,18 @@
 
 	"lentilrock.example/internal/cell/descriptor"
 	"lentilrock.example/internal/peer/messenger"
+	"lentilrock.example/internal/standin/piper"
 )
 
 // network connects hosts in memory, since sockets hold up the time of a synctest bubble. The
 // zero value has no hosts.
 type network struct {
 	mu    sync.Mutex
-	hosts map[string]*pipeListener
+	hosts map[string]*piper.Listener
 	ends  map[string]func()
 }
 
-// pipeListener accepts connections in memory.
-type pipeListener struct {
-	connections chan net.Conn
-	closed      chan struct{}
-	once        sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.connections:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "memory"} }
-
-func (n *network) dial(_ context.Context, _, address string) (net.Conn, error) {
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l, found := n.hosts[address]
 	n.mu.Unlock()
@@ -52,12 +30,10 @@
 		return nil, errors.Newf("nothing listens at %s", address)
 	}
 	near, far := net.Pipe()
-	select {
-	case l.connections <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, errors.Newf("nothing listens at %s any more", address)
+	if err := l.Connect(ctx, far); err != nil {
+		return nil, errors.Errorf("connect to %s: %w", address, err)
 	}
+	return near, nil
 }
 
 // add connects a host and returns its address.
@@ -65,14 +41,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.hosts == nil {
-		n.hosts, n.ends = make(map[string]*pipeListener), make(map[string]func())
+		n.hosts, n.ends = make(map[string]*piper.Listener), make(map[string]func())
 	}
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(7000+len(n.ends)))
 	m := messenger.New(messenger.Options{
 		Self:   messenger.Hello{Host: descriptor.HostID{Name: name, Incarnation: incarnation}, DataCentre: "brno"},
 		Client: &http.Client{Transport: &http.Transport{DialContext: n.dial}},
 	})
-	listener := &pipeListener{connections: make(chan net.Conn), closed: make(chan struct{})}
+	listener := piper.New(address)
 	server := &http.Server{Handler: m}
 	go func() { _ = server.Serve(listener) }()
 	n.hosts[address.String()] = listener
--- a/internal/node/starter/cell_test.go
+++ b/internal/node/starter/cell_test.go
@@ -28,6 +28,7 @@
 	"lentilrock.example/internal/settings/checker"
 	"lentilrock.example/internal/standin/lister"
 	"lentilrock.example/internal/standin/logger"
+	"lentilrock.example/internal/standin/piper"
 	"lentilrock.example/internal/standin/upstream"
 	"lentilrock.example/internal/standin/worker"
 )
@@ -35,34 +36,11 @@
 // network is a network in memory, whose links can be cut.
 type network struct {
 	mu        sync.Mutex
-	listeners map[string]*pipeListener
+	listeners map[string]*piper.Listener
 	open      map[*pipeConn]bool
 	cut       func(from, to string) bool
 }
 
-type pipeListener struct {
-	address netip.AddrPort
-	backlog chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.backlog:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
-
 type pipeConn struct {
 	net.Conn
 	remote   net.Addr
@@ -73,13 +51,13 @@
 
 func newNetwork() *network {
 	return &network{
-		listeners: make(map[string]*pipeListener), open: make(map[*pipeConn]bool),
+		listeners: make(map[string]*piper.Listener), open: make(map[*pipeConn]bool),
 		cut: func(string, string) bool { return false },
 	}
 }
 
-func (n *network) listen(address netip.AddrPort) *pipeListener {
-	l := &pipeListener{address: address, backlog: make(chan net.Conn), closed: make(chan struct{})}
+func (n *network) listen(address netip.AddrPort) *piper.Listener {
+	l := piper.New(address)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.listeners[address.String()] = l
@@ -98,11 +76,7 @@
 	near, far := net.Pipe()
 	client := &pipeConn{Conn: near, remote: l.Addr(), from: from.String(), to: hostOf(to)}
 	server := &pipeConn{Conn: far, remote: net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, 1)), from: from.String(), to: hostOf(to)}
-	select {
-	case l.backlog <- server:
-	case <-l.closed:
-		return nil, refused
-	case <-ctx.Done():
+	if err := l.Connect(ctx, server); err != nil {
 		return nil, refused
 	}
 	n.mu.Lock()
@@ -146,7 +120,7 @@
 	signals chan os.Signal
 	stop    context.CancelFunc
 	done    chan error
-	socket  *pipeListener
+	socket  *piper.Listener
 }
 
 // cell is a whole cell in memory: the platform's stand-ins and some entry hosts.
