--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -109,9 +109,7 @@
 		c.claim()
 		c.run(3 * workTime)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
-		for _, s := range c.starts {
-			require.Equal(t, 1, c.fleet.Starts(s.Task.String()), s.Task)
-		}
+		c.requireStartedOnce()
 		c.requireSound()
 	})
 	t.Run("an end is acknowledged only once it is kept", func(t *testing.T) {
@@ -151,9 +149,7 @@
 		c.claim()
 		c.run(2 * time.Second)
 		require.Len(t, c.starts, 16, "eight tasks were never started, and only four are at the silent worker")
-		for _, s := range c.starts {
-			require.Equal(t, 1, c.fleet.Starts(s.Task.String()), s.Task)
-		}
+		c.requireStartedOnce()
 		c.run(9 * time.Second)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireSound()
@@ -166,9 +162,7 @@
 		c.claim()
 		c.run(4 * workTime)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
-		for _, s := range c.starts {
-			require.Equal(t, 1, c.fleet.Starts(s.Task.String()), s.Task)
-		}
+		c.requireStartedOnce()
 		c.requireSound()
 	})
 	t.Run("a failure is counted once, before and after", func(t *testing.T) {
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -228,6 +228,13 @@
 	require.Empty(c.t, overfull, "workers were over their capacity")
 }
 
+// requireStartedOnce checks that no task was started again.
+func (c *cell) requireStartedOnce() {
+	for _, s := range c.starts {
+		require.Equal(c.t, 1, c.fleet.Starts(s.Task.String()), s.Task)
+	}
+}
+
 func tasks(count int) describer.Step {
 	return describer.Step{Count: count, Need: describer.Resources{MilliCPU: 1000, MemoryMB: 1000}, Estimate: workTime}
 }
