Send waiting requests for advice when a backoff ends

Cause: a request for advice waits for a free host, and hosts were only assigned when a request came or ended. Once all hosts were in backoff with no request in flight, the waiting requests stayed forever; they count as pending, so the dispatcher sent no others, and no step of any queue got advice.

Change: a timer assigns hosts when the next backoff ends, and the host itself, which has not gone, has a short backoff.

Before and after: TestWaitingRequestsAreSentWhenBackoffsEnd waited for an hour, and ends within three backoffs; after a cut of 5 s the host's own requests resume within a second (before: never).

Ruled out: clearing all backoffs when the holder suspects that it is cut off; hosts that have gone would be tried at each step (TestBackoffDoublesUntilSuccess).

--- a/internal/entry/distributor/backoff_test.go
+++ b/internal/entry/distributor/backoff_test.go
@@ -1,15 +1,35 @@
 package distributor
 
 import (
+	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/orderer"
 )
 
+// failingAdvisor fails until a time.
+type failingAdvisor struct {
+	clock clockwork.Clock
+	until time.Time
+}
+
+func (a failingAdvisor) isCut() bool { return a.clock.Now().Before(a.until) }
+
+func (a failingAdvisor) Advise(context.Context, orderer.AdviceRequest) (orderer.Advice, error) {
+	if a.isCut() {
+		return orderer.Advice{}, errors.New("the advice service is cut off in this test")
+	}
+	return orderer.Advice{}, nil
+}
+
 // TestBackoffDoublesUntilSuccess guards against frequent requests through a host that has gone,
 // and against a backoff that outlasts the host's next success.
 func TestBackoffDoublesUntilSuccess(t *testing.T) {
@@ -32,3 +52,48 @@
 	_, found = a.freeHost()
 	require.True(t, found, "a host that succeeded must be used again at once")
 }
+
+// adviseAll sends concurrent requests and returns how long it took until the last one ended.
+func adviseAll(t *testing.T, a *Distributor, requests int) time.Duration {
+	startedAt := a.options.Clock.Now()
+	var wg sync.WaitGroup
+	ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+	for range requests {
+		wg.Go(func() { _, _ = a.Advise(ctx, orderer.AdviceRequest{}) })
+	}
+	wg.Wait()
+	return a.options.Clock.Since(startedAt)
+}
+
+// TestWaitingRequestsAreSentWhenBackoffsEnd answers the pattern of a holder that is cut off from the
+// other hosts for seconds. It guards against requests that wait forever because every host was in its
+// backoff when the last request in flight ended: no step gets advice then, and the cell stands still.
+func TestWaitingRequestsAreSentWhenBackoffsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Options{
+			Self: "self", Clock: clockwork.NewRealClock(),
+			Hosts: func() []journaler.Host { return []journaler.Host{{Name: "gone"}, {Name: "gone too"}} },
+		})
+		require.LessOrEqual(t, adviseAll(t, a, 6), 3*maxBackoff)
+	})
+}
+
+// TestOwnRequestsResumeOnceServiceIsReached answers the pattern of a holder that is cut off from the
+// advice service for seconds. It guards against a backoff of the host itself that outlasts the cut.
+func TestOwnRequestsResumeOnceServiceIsReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewRealClock()
+		healsAt := clock.Now().Add(5 * time.Second)
+		service := failingAdvisor{clock, healsAt}
+		a := New(Options{
+			Self: "self", Clock: clock, Advisor: service,
+			Hosts: func() []journaler.Host { return []journaler.Host{{Name: "gone"}, {Name: "self"}} },
+		})
+		for service.isCut() {
+			adviseAll(t, a, 1)
+		}
+		adviseAll(t, a, 4)
+		require.Less(t, clock.Since(healsAt), time.Second)
+	})
+}
--- a/internal/entry/distributor/distributor.go
+++ b/internal/entry/distributor/distributor.go
@@ -34,6 +34,9 @@
 	minBackoff = 3 * time.Second
 	// maxBackoff bounds the backoff.
 	maxBackoff = 24 * time.Second
+	// selfBackoff is the backoff of this host, which has not gone: its requests fail while it can't
+	// reach the service.
+	selfBackoff = 250 * time.Millisecond
 )
 
 // Advisor is the advice service, which decides which workers may run a step.
@@ -69,6 +72,9 @@
 	backoffs map[string]time.Duration
 	// queue has the requests that wait for a host, the shortest first.
 	queue []*waiter
+	// wakeAt is when a timer is due that assigns hosts to waiting requests, since a backoff ends
+	// then; zero if none is set.
+	wakeAt time.Time
 }
 
 // waiter is a request that waits for a host.
@@ -147,6 +153,9 @@
 		delete(a.backoffs, host.Name)
 	} else {
 		backoff := min(max(2*a.backoffs[host.Name], minBackoff), maxBackoff)
+		if host.Name == a.options.Self {
+			backoff = selfBackoff
+		}
 		a.backoffs[host.Name] = backoff
 		a.backoffUntil[host.Name] = a.options.Clock.Now().Add(backoff)
 	}
@@ -158,6 +167,7 @@
 	for len(a.queue) > 0 {
 		host, found := a.freeHost()
 		if !found {
+			a.scheduleAssign()
 			return
 		}
 		w := a.queue[0]
@@ -167,6 +177,32 @@
 	}
 }
 
+// scheduleAssign calls assign when the next backoff ends. Without that, the requests would wait
+// forever if all hosts are in backoff and no request is in flight. The caller has the lock.
+func (a *Distributor) scheduleAssign() {
+	now := a.options.Clock.Now()
+	var next time.Time
+	for _, h := range a.options.Hosts() {
+		until := a.backoffUntil[h.Name]
+		if !a.busy[h.Name] && until.After(now) && (next.IsZero() || until.Before(next)) {
+			next = until
+		}
+	}
+	if next.IsZero() {
+		// A request in flight ends, or Hosts is empty until the announcements of the hosts are read.
+		next = now.Add(selfBackoff)
+	}
+	if a.wakeAt.After(now) && !next.Before(a.wakeAt) {
+		return
+	}
+	a.wakeAt = next
+	a.options.Clock.AfterFunc(next.Sub(now), func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.assign()
+	})
+}
+
 // freeHost returns a host that is neither busy nor in backoff, preferably one in this data
 // centre; the caller has the lock.
 func (a *Distributor) freeHost() (journaler.Host, bool) {
