Repeat appends whose reply is late, and send nothing that can't be persisted

Change: package repeater repeats an idempotent append beside the first attempt once a fast read, or a later append, shows that its reply is lost; at a slow store it hardly repeats. Followers check with small reads whether the store is back. While appends fail or stay without a reply, new records are refused before they are sent (package checker shares the check). Nothing is sent to an unresponsive holder, nor to peers that do not say that they reach the store.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -27,12 +27,14 @@
 
 	"lentilrock.example/internal/entry/announcer"
 	"lentilrock.example/internal/entry/cataloger"
+	"lentilrock.example/internal/entry/checker"
 	"lentilrock.example/internal/entry/distributor"
 	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/holder"
 	"lentilrock.example/internal/entry/measurer"
 	"lentilrock.example/internal/entry/prober"
 	"lentilrock.example/internal/entry/recorder"
+	"lentilrock.example/internal/entry/repeater"
 	"lentilrock.example/internal/entry/resigner"
 	"lentilrock.example/internal/entry/resolver"
 	"lentilrock.example/internal/entry/router"
@@ -78,6 +80,7 @@
 // Coordinator is an entry host.
 type Coordinator struct {
 	options     Options
+	repeater    *repeater.Repeater
 	submitter   *submitter.Submitter
 	forwarder   *forwarder.Forwarder
 	router      *router.Router
@@ -133,6 +136,7 @@
 		options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), holderOffset: -1,
 		claimsWaker: pauser.NewWaker(),
 	}
+	k.repeater = repeater.New(repeater.Options{Store: options.Store, Check: k.readStore, Clock: options.Clock})
 	k.initPeers()
 	k.initCallers()
 	k.initOperators()
@@ -163,13 +167,17 @@
 // initCallers creates the components that persist the records of callers and report job states.
 func (k *Coordinator) initCallers() {
 	o := k.options
+	storeReplies := checker.New(checker.Options{Check: k.readStore, Clock: o.Clock}).Replies
 	k.submitter = submitter.New(submitter.Options{
-		Store: o.Store, Clock: o.Clock, Logger: o.Logger, OnAppended: k.applyAppended,
-		HasFallbackHost: func() bool { return k.forwarder.HasHolder() },
+		Appender: k.repeater, Clock: o.Clock, Logger: o.Logger, OnAppended: k.applyAppended,
+		HasFallbackHost: func() bool { return k.forwarder.HasHolder() }, StoreReplies: storeReplies,
 	})
 	k.forwarder = forwarder.New(forwarder.Options{
 		Self: o.Name, DataCentre: o.DataCentre, Messenger: o.Messenger, Hosts: k.hosts, Holder: k.remoteHolder,
-		Persist: k.submitter.Persist,
+		Persist: k.persistForPeer,
+		CanPersist: func(ctx context.Context) bool {
+			return !k.isStoreDown() && (!k.submitter.IsFailing() || storeReplies(ctx))
+		},
 		LocalStatus: func(ctx context.Context, id describer.JobID) forwarder.StatusReply {
 			return k.resolver.LocalStatus(ctx, id)
 		},
@@ -178,7 +186,7 @@
 	k.resolver = resolver.New(resolver.Options{View: k.jobView, Peers: k.forwarder, Clock: o.Clock, MaxViewAge: maxViewAge})
 	k.router = router.New(router.Options{
 		Submitter: k.submitter, Forwarder: k.forwarder, View: k.prober.View, Clock: o.Clock, Scope: o.Scope,
-		IsStoreDown: k.isStoreDown,
+		IsStoreDown: k.isStoreDown, StoreReplies: storeReplies,
 	})
 }
 
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -435,3 +435,49 @@
 		require.Equal(t, 8, c.fleet.Done())
 	})
 }
+
+// TestLostAndLateAppendsLeaveTheClaimInPlace answers the pattern of a store that loses replies for
+// seconds and carries out the appends late. It guards against a holder that waits so long before
+// it repeats an append that its peers miss its heartbeats, and against jobs that stand still
+// meanwhile.
+func TestLostAndLateAppendsLeaveTheClaimInPlace(t *testing.T) {
+	for phase := range len(lossPattern) {
+		t.Run(fmt.Sprintf("phase %d", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runLossyStore(t, phase) })
+		})
+	}
+}
+
+// lossPattern says which of consecutive appends to a topic lose their reply.
+var lossPattern = [...]bool{true, true, false, true, false}
+
+func runLossyStore(t *testing.T, phase int) {
+	c := newCell(t, 3)
+	defer c.shutDown()
+	holder, epoch := c.holder(), c.hosts[0].Counts().Epoch
+	c.store.SetLossy(func(i int) (bool, time.Duration) {
+		return lossPattern[(i+phase)%len(lossPattern)], time.Second + time.Duration(i%5)*time.Second
+	})
+	var ids []describer.JobID
+	for i := range 12 {
+		id := describer.JobID(fmt.Sprintf("job-%d", i))
+		ids = append(ids, id)
+		require.NoError(t, c.submit(i%3, id, 2), "job %d", i)
+		time.Sleep(250 * time.Millisecond)
+	}
+	// Callers wait 3 s for a reply, so the last job should not take longer than that.
+	time.Sleep(3 * time.Second)
+	for _, id := range ids {
+		state, err := c.status(holder, id)
+		require.NoError(t, err)
+		require.Equal(t, describer.JobCompleted, state, "%s", id)
+	}
+	c.store.SetLossy(nil)
+	time.Sleep(8 * time.Second)
+	require.Equal(t, holder, c.holder())
+	require.Equal(t, epoch, c.hosts[holder].Counts().Epoch, "the claim moved although the holder was alive")
+	for _, id := range ids {
+		c.requireCompleted(id)
+	}
+	require.Equal(t, 24, c.fleet.Done())
+}
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -102,7 +102,7 @@
 	}
 	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	_, err = k.options.Store.Append(claimCtx, storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: epoch})
+	_, err = k.repeater.Append(claimCtx, storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: epoch})
 	outcome := "appended"
 	if err != nil {
 		outcome = err.Error()
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -8,6 +8,7 @@
 
 	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/resolver"
+	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 )
@@ -82,6 +83,27 @@
 	return sinceRead > storeTimeout || sinceRead > storeErrorTimeout && k.claimsFailedAt.After(readAt)
 }
 
+// persistForPeer persists a record of another host. A host that can't reach the store, or has not read
+// from it since its start, refuses the record without sending it.
+func (k *Coordinator) persistForPeer(ctx context.Context, record journaler.Record) error {
+	if k.isStoreDown() {
+		return errors.Errorf("this host does not reach the store: %w", storer.ErrRefused)
+	}
+	return k.submitter.Persist(ctx, record)
+}
+
+// readStore reads from the store without waiting for records, to check that it replies.
+func (k *Coordinator) readStore(ctx context.Context) error {
+	k.mu.Lock()
+	from := k.nextJobOffset
+	k.mu.Unlock()
+	_, err := k.options.Store.Read(ctx, storer.Jobs, from, 0)
+	if errors.Is(err, storer.ErrRecordsRemoved) {
+		return nil
+	}
+	return errors.Wrap(err, "check the store")
+}
+
 // Pending returns the number of accepted jobs of a queue of which no task has started.
 func (k *Coordinator) Pending(queue string) int {
 	k.mu.Lock()
--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -32,6 +32,9 @@
 	readTimeoutMargin = 1500 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 150 * time.Millisecond
+	// checkInterval separates the reads that check whether the store replies again. They are in flight
+	// beside each other, as a connection on which one got no reply may return nothing further.
+	checkInterval = 500 * time.Millisecond
 )
 
 // Follower reads a topic. OnFailure and Wake may be nil.
@@ -63,11 +66,43 @@
 	for ctx.Err() == nil {
 		if err := f.follow(ctx); err != nil && ctx.Err() == nil {
 			f.recordFailure(err)
-			pauser.Pause(ctx, f.Clock, retryPause)
+			f.awaitStore(ctx)
 		}
 	}
 }
 
+// awaitStore returns after retryPause and once the store has replied to a small read.
+func (f *Follower) awaitStore(ctx context.Context) {
+	pauser.Pause(ctx, f.Clock, retryPause)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replied := make(chan struct{})
+	for {
+		go f.check(ctx, replied)
+		select {
+		case <-replied:
+			return
+		case <-ctx.Done():
+			return
+		case <-f.Clock.After(checkInterval):
+		}
+	}
+}
+
+// check sends a small read and reports a reply to replied.
+func (f *Follower) check(ctx context.Context, replied chan<- struct{}) {
+	readCtx, cancel := context.WithTimeout(ctx, ReadWait+readTimeoutMargin)
+	defer cancel()
+	_, err := f.Store.Read(readCtx, storer.Reports, 0, 0)
+	if err != nil && !errors.Is(err, storer.ErrRecordsRemoved) {
+		return
+	}
+	select {
+	case replied <- struct{}{}:
+	case <-ctx.Done():
+	}
+}
+
 // follow lists the newest records, then reads new ones until the store no longer has the next
 // record or the topic is due to be listed again. A failed read is retried at the same offset.
 func (f *Follower) follow(ctx context.Context) error {
@@ -88,7 +123,7 @@
 			return nil
 		case err != nil:
 			f.recordFailure(err)
-			pauser.Pause(ctx, f.Clock, retryPause)
+			f.awaitStore(ctx)
 			continue
 		}
 		f.recordSuccess()
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,8 +24,9 @@
 )
 
 const (
-	// persistKind, statusKind and cachedStatusKind name the calls between peers.
+	// persistKind, canPersistKind, statusKind and cachedStatusKind name the calls between peers.
 	persistKind      = "keep"
+	canPersistKind   = "can_keep"
 	statusKind       = "status"
 	cachedStatusKind = "glance"
 	// maxPeers bounds the peers that are tried for one request.
@@ -34,6 +36,9 @@
 	holderStatusTimeout = 300 * time.Millisecond
 	// peerTimeout bounds a call to one peer.
 	peerTimeout = 800 * time.Millisecond
+	// canPersistTimeout bounds the question to peers whether they can persist a record. It covers
+	// several round trips between regions.
+	canPersistTimeout = 250 * time.Millisecond
 	// holderPersistTimeout bounds a request to the holder to persist a record, and the work for
 	// a peer's request on any host. The holder batches the records of all hosts, so the bound covers
 	// two appends to a slow store and the network round trip.
@@ -76,6 +81,8 @@
 	// Persist persists a record from this host, without its peers. Errors wrap storer.ErrRefused,
 	// after which the record is never stored, or leave the outcome unknown.
 	Persist func(ctx context.Context, record journaler.Record) error
+	// CanPersist reports whether this host reaches the store; nil means that it does.
+	CanPersist func(ctx context.Context) bool
 	// LocalStatus returns the state of a job as this host knows it. It may wait for a recent view.
 	LocalStatus func(ctx context.Context, id describer.JobID) StatusReply
 	// CachedStatus returns the state of a job as this host knows it, without waiting.
@@ -89,8 +96,12 @@
 
 // New returns a Forwarder and registers its handlers with the messenger.
 func New(options Options) *Forwarder {
+	if options.CanPersist == nil {
+		options.CanPersist = func(context.Context) bool { return true }
+	}
 	f := &Forwarder{options: options}
 	if options.Messenger != nil {
+		messenger.Handle(options.Messenger, canPersistKind, f.serveCanPersist)
 		messenger.Handle(options.Messenger, persistKind, f.servePersist)
 		messenger.Handle(options.Messenger, statusKind, f.serveStatus)
 		messenger.Handle(options.Messenger, cachedStatusKind, f.serveCachedStatus)
@@ -168,12 +179,37 @@
 	return storer.ErrOutcomeUnknown
 }
 
-// PersistViaPeers has a peer other than the holder persist a record, trying one after the
-// other. Errors wrap storer.ErrRefused, after which the record is never stored, or
-// storer.ErrOutcomeUnknown.
+// peersThatCanPersist returns the peers that reply that they reach the store, in the order of peers.
+// A record is not sent to the others, since its outcome would stay unknown.
+func (f *Forwarder) peersThatCanPersist(ctx context.Context) []netip.AddrPort {
+	peers := f.peers()
+	canPersist := make([]bool, len(peers))
+	callCtx, cancel := context.WithTimeout(ctx, canPersistTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for i, peer := range peers {
+		calls.Go(func() {
+			reply, err := messenger.Call[struct{}, bool](callCtx, f.options.Messenger, peer, canPersistKind, struct{}{})
+			// A peer of an older version does not know the question but replies.
+			canPersist[i] = err == nil && reply || errors.Is(err, messenger.ErrPeer)
+		})
+	}
+	calls.Wait()
+	able := make([]netip.AddrPort, 0, len(peers))
+	for i, peer := range peers {
+		if canPersist[i] {
+			able = append(able, peer)
+		}
+	}
+	return able
+}
+
+// PersistViaPeers has a peer other than the holder persist a record, trying those that reach the
+// store one after the other. Errors wrap storer.ErrRefused, after which the record is never stored,
+// or storer.ErrOutcomeUnknown.
 func (f *Forwarder) PersistViaPeers(ctx context.Context, record journaler.Record) error {
 	isOutcomeUnknown := false
-	for _, peer := range f.peers() {
+	for _, peer := range f.peersThatCanPersist(ctx) {
 		if ctx.Err() != nil {
 			break
 		}
@@ -235,6 +271,10 @@
 	return OutcomeUnknown, nil
 }
 
+func (f *Forwarder) serveCanPersist(ctx context.Context, _ messenger.Hello, _ struct{}) (bool, error) {
+	return f.options.CanPersist(ctx), nil
+}
+
 func (f *Forwarder) serveStatus(ctx context.Context, _ messenger.Hello, id describer.JobID) (StatusReply, error) {
 	return f.options.LocalStatus(ctx, id), nil
 }
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -23,6 +24,8 @@
 	persisted    []journaler.Record
 	persistError error
 	reply        forwarder.StatusReply
+	// canPersist answers the question whether the peer reaches the store; nil means that it does.
+	canPersist func() bool
 }
 
 func newPeer(t *testing.T, name, dataCentre string) *peer {
@@ -36,6 +39,7 @@
 			}
 			return p.persistError
 		},
+		CanPersist:  func(context.Context) bool { return p.canPersist == nil || p.canPersist() },
 		LocalStatus: func(context.Context, describer.JobID) forwarder.StatusReply { return p.reply },
 	})
 	server := httptest.NewServer(m)
@@ -93,6 +97,22 @@
 	})
 }
 
+// TestRecordIsNotSentToPeersThatCannotPersistIt answers the pattern of hosts that are cut off from
+// others and from the store. It guards against an unknown outcome that the caller has to wait for,
+// although it is certain that nothing was stored.
+func TestRecordIsNotSentToPeersThatCannotPersistIt(t *testing.T) {
+	near, far := newPeer(t, "near", "brno"), newPeer(t, "far", "praha")
+	released := make(chan struct{})
+	near.canPersist = func() bool { <-released; return true }
+	far.canPersist = func() bool { return false }
+	startedAt := time.Now()
+	err := newForwarder(t, near.host, far.host).PersistViaPeers(t.Context(), journaler.Record{Key: "j/a"})
+	close(released)
+	require.True(t, errors.Is(err, storer.ErrRefused), "%v", err)
+	require.Less(t, time.Since(startedAt), 10*time.Second, "the question to a peer must have a time limit")
+	require.Empty(t, append(near.persisted, far.persisted...))
+}
+
 // TestPersistViaHolder guards against a result other than the one that the holder replied with.
 func TestPersistViaHolder(t *testing.T) {
 	record := journaler.Record{Key: "j/a", Value: []byte("job")}
--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -89,9 +89,11 @@
 // Options configure a holder.
 type Options struct {
 	// Epoch is the epoch of the claim, which fences the holder's appends.
-	Epoch   int64
-	Store   storer.Store
-	Workers Workers
+	Epoch int64
+	Store storer.Store
+	// Appender appends records under the claim. It may repeat an append whose reply is late.
+	Appender storer.Appender
+	Workers  Workers
 	// Machines may be nil on a platform without machine maintenance.
 	Machines Machines
 	Clock    clockwork.Clock
@@ -363,7 +365,7 @@
 	call := storer.Append{Topic: storer.Claims, Records: records, Epoch: h.options.Epoch, Sequence: h.appendSequence}
 	for ctx.Err() == nil {
 		appendCtx, cancel := context.WithTimeout(ctx, saveTimeout)
-		offset, err := h.options.Store.Append(appendCtx, call)
+		offset, err := h.options.Appender.Append(appendCtx, call)
 		cancel()
 		h.recordAppend(err)
 		switch {
@@ -396,7 +398,7 @@
 		return
 	}
 	call := storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: h.options.Epoch, Sequence: h.appendSequence + 1}
-	if _, err := h.options.Store.Append(ctx, call); err != nil {
+	if _, err := h.options.Appender.Append(ctx, call); err != nil {
 		h.options.Logger.Warn("claim: Appending the release failed; other hosts may have to wait for the heartbeat timeout.",
 			zap.Int64("epoch", h.options.Epoch), zap.String("error", err.Error()))
 	}
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -61,6 +61,9 @@
 	Scope tally.Scope
 	// IsStoreDown reports whether this host can't reach the store.
 	IsStoreDown func() bool
+	// StoreReplies asks the store for a reply; nil means that it replies. It is called while the
+	// holder is unresponsive, since this host may be cut off then and not know it yet.
+	StoreReplies func(ctx context.Context) bool
 }
 
 // Router persists records through the holder, this host or its peers.
@@ -73,13 +76,17 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
+	if options.StoreReplies == nil {
+		options.StoreReplies = func(context.Context) bool { return true }
+	}
 	return &Router{options: options}
 }
 
 // Persist persists a record. It tries the holder first, so that a slow store gets few appends and
 // the holder learns of the record at once, then this host, then other peers. While the holder
 // fails its probes, this host is tried first; while this host can't reach the store, it is left
-// out. Errors are those of a PersistFunc.
+// out. Nothing is sent to a holder, store or peer that does not reply, so that a host that is cut off
+// can refuse the record at once. Errors are those of a PersistFunc.
 func (d *Router) Persist(ctx context.Context, record journaler.Record) error {
 	startedAt := d.options.Clock.Now()
 	err := d.persist(ctx, record)
@@ -91,7 +98,12 @@
 
 func (d *Router) persist(ctx context.Context, record journaler.Record) error {
 	isStoreUp := !d.options.IsStoreDown()
-	if isStoreUp && d.isHolderFailing() {
+	switch {
+	case d.options.View().IsUnresponsive && isStoreUp:
+		return persistWithFirst(ctx, record, false, d.persistIfStoreReplies, d.options.Forwarder.PersistViaPeers)
+	case d.options.View().IsUnresponsive:
+		return persistWithFirst(ctx, record, false, d.options.Forwarder.PersistViaPeers)
+	case isStoreUp && d.isHolderFailing():
 		return persistWithFirst(ctx, record, false, d.persistLocally, d.persistViaHolder, d.options.Forwarder.PersistViaPeers)
 	}
 	err := d.persistViaHolder(ctx, record)
@@ -150,6 +162,14 @@
 	}
 }
 
+// persistIfStoreReplies persists a record from this host, if the store replies to it.
+func (d *Router) persistIfStoreReplies(ctx context.Context, record journaler.Record) error {
+	if !d.options.StoreReplies(ctx) {
+		return errors.Errorf("the store does not reply to this host: %w", storer.ErrRefused)
+	}
+	return d.persistLocally(ctx, record)
+}
+
 // persistLocally persists a record from this host. If another host holds the claim, the
 // attempt is bounded by localTimeout, so that peers can be tried afterwards. The holder itself
 // waits as long as the caller does, as there is no better host to try.
--- a/internal/entry/router/router_test.go
+++ b/internal/entry/router/router_test.go
@@ -50,6 +50,7 @@
 	refused, unknown := errors.Wrap(storer.ErrRefused, "test"), errors.Wrap(storer.ErrOutcomeUnknown, "test")
 	unreachable := errors.Mark(forwarder.ErrNoHolder, storer.ErrRefused)
 	failing := prober.View{FailingSince: time.Unix(1, 0)}
+	unresponsive := prober.View{FailingSince: time.Unix(1, 0), IsUnresponsive: true}
 	for _, test := range []struct {
 		name   string
 		routes routes
@@ -57,21 +58,28 @@
 		isDown bool
 		tried  string
 		want   error
+		// isSilent reports that the store does not reply to this host, which has not noticed it yet.
+		isSilent bool
 	}{
-		{"the holder persists the record", routes{}, prober.View{}, false, "holder", nil},
-		{"this host persists it if the holder is unreachable", routes{holder: unreachable}, prober.View{}, false, "holder local", nil},
-		{"this host is tried first while probes of the holder fail", routes{}, failing, false, "local", nil},
-		{"the holder is tried if the store refuses this host", routes{local: refused}, failing, false, "local holder", nil},
-		{"a peer persists it if the holder and this host are refused", routes{holder: refused, local: refused}, prober.View{}, false, "holder local peer", nil},
-		{"a host that cannot reach the store tries only other hosts", routes{holder: unreachable}, prober.View{}, true, "holder peer", nil},
-		{"a refusal is returned if all routes refuse", routes{holder: refused, local: refused, peer: refused}, prober.View{}, false, "holder local peer", storer.ErrRefused},
-		{"no other route is tried while a responsive holder has the record", routes{holder: unknown}, prober.View{}, false, "holder", storer.ErrOutcomeUnknown},
-		{"the outcome is unknown if one route left it unknown", routes{holder: refused, local: unknown, peer: refused}, prober.View{}, false, "holder local peer", storer.ErrOutcomeUnknown},
+		{"the holder persists the record", routes{}, prober.View{}, false, "holder", nil, false},
+		{"this host persists it if the holder is unreachable", routes{holder: unreachable}, prober.View{}, false, "holder local", nil, false},
+		{"this host is tried first while probes of the holder fail", routes{}, failing, false, "local", nil, false},
+		{"the holder is tried if the store refuses this host", routes{local: refused}, failing, false, "local holder", nil, false},
+		{"a peer persists it if the holder and this host are refused", routes{holder: refused, local: refused}, prober.View{}, false, "holder local peer", nil, false},
+		{"a host that cannot reach the store tries only other hosts", routes{holder: unreachable}, prober.View{}, true, "holder peer", nil, false},
+		{"a refusal is returned if all routes refuse", routes{holder: refused, local: refused, peer: refused}, prober.View{}, false, "holder local peer", storer.ErrRefused, false},
+		{"no other route is tried while a responsive holder has the record", routes{holder: unknown}, prober.View{}, false, "holder", storer.ErrOutcomeUnknown, false},
+		{"the outcome is unknown if one route left it unknown", routes{holder: refused, local: unknown, peer: refused}, prober.View{}, false, "holder local peer", storer.ErrOutcomeUnknown, false},
+		{"nothing is sent to a holder that does not reply", routes{}, unresponsive, false, "local", nil, false},
+		{"a host that is cut off from the holder and the store sends nothing to them", routes{peer: refused}, unresponsive, false, "peer", storer.ErrRefused, true},
+		{"a peer persists the record of a host that is cut off from the holder and the store", routes{}, unresponsive, false, "peer", nil, true},
+		{"a host that knows that the store is down sends nothing to it", routes{peer: refused}, unresponsive, true, "peer", storer.ErrRefused, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := router.New(router.Options{
 				Submitter: local{&test.routes}, Forwarder: &test.routes, Clock: clockwork.NewFakeClock(),
 				View: func() prober.View { return test.view }, IsStoreDown: func() bool { return test.isDown },
+				StoreReplies: func(context.Context) bool { return !test.isSilent },
 			})
 			err := d.Persist(t.Context(), journaler.Record{Key: "j/a"})
 			require.Equal(t, test.tried, strings.Join(test.routes.tried, " "))
--- a/internal/entry/storer/storer.go
+++ b/internal/entry/storer/storer.go
@@ -79,10 +79,15 @@
 	End int64
 }
 
-// Store is the platform's store.
-type Store interface {
+// Appender appends records to the platform's store.
+type Appender interface {
 	// Append returns the offset of the first record.
 	Append(ctx context.Context, call Append) (int64, error)
+}
+
+// Store is the platform's store.
+type Store interface {
+	Appender
 	// Read returns the records from an offset on. It waits at most wait for the first one.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) ([]Entry, error)
 	// Newest returns a page of the newest records of the keys after the given one.
--- a/internal/entry/submitter/submitter.go
+++ b/internal/entry/submitter/submitter.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	s := submitter.New(submitter.Options{Store: store, Clock: clock, OnAppended: apply})
+//	s := submitter.New(submitter.Options{Appender: store, Clock: clock, OnAppended: apply})
 //	go s.Run(ctx)
 //	err := s.Persist(ctx, record)
 package submitter
@@ -57,6 +57,14 @@
 	fastAppendTime = 250 * time.Millisecond
 	// retryInterval separates retries of appends that the store refused or whose outcome is unknown.
 	retryInterval = 120 * time.Millisecond
+	// suspiciousAfter is how long a store may reply to no append before it is checked whether it
+	// replies at all. A slow store replies to one of several appends within this time.
+	suspiciousAfter = 600 * time.Millisecond
+	// failingAfter is how long appends may fail before new records are not sent any more.
+	failingAfter = 100 * time.Millisecond
+	// trialInterval separates the records that are sent to a store that replies to checks although
+	// appends to it fail.
+	trialInterval = 150 * time.Millisecond
 	// maxRefusedRetryTime bounds the retries of a refused batch if no peer could persist it
 	// instead.
 	maxRefusedRetryTime = 600 * time.Millisecond
@@ -64,14 +72,18 @@
 
 // Options configure a Submitter.
 type Options struct {
-	Store  storer.Store
-	Clock  clockwork.Clock
-	Logger *zap.Logger
+	// Appender appends records. It may repeat an append whose reply is late.
+	Appender storer.Appender
+	Clock    clockwork.Clock
+	Logger   *zap.Logger
 	// OnAppended is called with records that were appended and the offset of the first one.
 	OnAppended func(records []journaler.Record, offset int64)
 	// HasFallbackHost reports whether a peer could persist a record that the store refuses from
 	// this host; nil means that no peer can.
 	HasFallbackHost func() bool
+	// StoreReplies asks the store for a reply; nil means that it replies. It is called while appends
+	// fail or get no reply, so that no record is sent whose outcome would stay unknown.
+	StoreReplies func(ctx context.Context) bool
 }
 
 // Submitter appends records on behalf of callers.
@@ -88,6 +100,11 @@
 	// isSlow reports that the last append that succeeded or got no reply took longer than
 	// fastAppendTime.
 	isSlow bool
+	// failingSince is when the first append after the last success failed with an error of the store
+	// or of the connection; zero if none did. triedAt is when a record was last accepted for an append
+	// since then.
+	failingSince time.Time
+	triedAt      time.Time
 	// activeBatches counts the batches being appended; newestBatchAt is the start of the newest.
 	activeBatches int
 	newestBatchAt time.Time
@@ -111,6 +128,9 @@
 	if options.HasFallbackHost == nil {
 		options.HasFallbackHost = func() bool { return false }
 	}
+	if options.StoreReplies == nil {
+		options.StoreReplies = func(context.Context) bool { return true }
+	}
 	return &Submitter{options: options, queue: buffer.New[*submission](queueSize), inFlight: make(map[*pendingAppend]bool)}
 }
 
@@ -124,6 +144,43 @@
 	return hasInFlight && s.options.Clock.Now().Sub(s.unansweredSince) > unresponsiveAfter
 }
 
+// isStoreSuspicious reports whether appends fail, or have had no reply for longer than
+// suspiciousAfter.
+func (s *Submitter) isStoreSuspicious() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	isSilent := len(s.inFlight) > 0 && !s.unansweredSince.IsZero() && now.Sub(s.unansweredSince) > suspiciousAfter
+	return isSilent || s.isFailing(now)
+}
+
+// isFailing reports whether appends have failed for longer than failingAfter; the caller has the lock.
+func (s *Submitter) isFailing(now time.Time) bool {
+	return !s.failingSince.IsZero() && now.Sub(s.failingSince) > failingAfter
+}
+
+// IsFailing reports whether appends have failed since the last success.
+func (s *Submitter) IsFailing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isFailing(s.options.Clock.Now())
+}
+
+// tryTrial reports whether a record may be sent although appends fail: one every trialInterval.
+func (s *Submitter) tryTrial() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Clock.Now()
+	if !s.isFailing(now) {
+		return true
+	}
+	if now.Sub(s.triedAt) < trialInterval {
+		return false
+	}
+	s.triedAt = now
+	return true
+}
+
 // tryAcquireSlot reports whether one more batch may be appended now, and counts it if so. It
 // allows maxConcurrentAppends to a fast store and maxSlowStoreAppends to a slow one. While an
 // append is late, the store may be slow; batches beyond maxSlowStoreAppends then start at most
@@ -170,7 +227,7 @@
 	}
 	s.mu.Unlock()
 	defer p.cancel()
-	offset, err := s.options.Store.Append(ctx, storer.Append{Topic: storer.Jobs, Records: records})
+	offset, err := s.options.Appender.Append(ctx, storer.Append{Topic: storer.Jobs, Records: records})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.inFlight, p)
@@ -179,8 +236,13 @@
 		s.unansweredSince = time.Time{}
 	}
 	isFast := now.Sub(p.startedAt) <= fastAppendTime
+	isGivenUp := errors.Is(ctx.Err(), context.Canceled)
+	if err != nil && !isGivenUp && s.failingSince.IsZero() {
+		s.failingSince = now
+	}
 	switch {
 	case err == nil:
+		s.failingSince = time.Time{}
 		s.isSlow = !isFast
 		s.cancelOlder(p.startedAt, now)
 	case errors.Is(err, storer.ErrOutcomeUnknown) && !isFast:
@@ -241,6 +303,9 @@
 	if s.isStoreUnresponsive() {
 		return errors.Errorf("the store answers nothing: %w", storer.ErrRefused)
 	}
+	if s.isStoreSuspicious() && (!s.options.StoreReplies(ctx) || !s.tryTrial()) {
+		return errors.Errorf("appends to the store fail: %w", storer.ErrRefused)
+	}
 	pending := &submission{ctx: ctx, record: record, reply: make(chan error, 1)}
 	if !s.queue.Offer(pending) {
 		return errors.Errorf("too many submissions wait: %w", storer.ErrRefused)
--- a/internal/entry/submitter/submitter_test.go
+++ b/internal/entry/submitter/submitter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,8 @@
 	appends        atomic.Int64
 	// lostReplies is how many of the next replies are lost.
 	lostReplies atomic.Int64
+	// isResetting makes appends fail at once with an unknown outcome.
+	isResetting atomic.Bool
 }
 
 func (s *store) Append(ctx context.Context, _ storer.Append) (int64, error) {
@@ -33,6 +36,9 @@
 		<-ctx.Done()
 		return 0, errors.Wrap(storer.ErrOutcomeUnknown, "test")
 	}
+	if s.isResetting.Load() {
+		return 0, errors.Wrap(storer.ErrOutcomeUnknown, "test")
+	}
 	time.Sleep(time.Duration(s.delay.Load()))
 	return 0, nil
 }
@@ -40,7 +46,8 @@
 // start runs a submitter on a store until the test ends.
 func start(t *testing.T, s *store) *submitter.Submitter {
 	sub := submitter.New(submitter.Options{
-		Store: s, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), OnAppended: func([]journaler.Record, int64) {},
+		Appender: s, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), OnAppended: func([]journaler.Record, int64) {},
+		StoreReplies: func(context.Context) bool { return !s.isResetting.Load() },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go sub.Run(ctx)
@@ -119,4 +126,37 @@
 			require.NoError(t, err)
 		})
 	})
+	t.Run("records are refused at once while the store resets connections", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &store{}
+			sub := start(t, s)
+			_, err := persist(sub)
+			require.NoError(t, err)
+			s.isResetting.Store(true)
+			var unknown, refused, late atomic.Int64
+			var callers sync.WaitGroup
+			for range 60 {
+				callers.Go(func() {
+					took, err := persist(sub)
+					switch {
+					case errors.Is(err, storer.ErrOutcomeUnknown):
+						unknown.Add(1)
+					case took > 150*time.Millisecond:
+						late.Add(1)
+					case errors.Is(err, storer.ErrRefused):
+						refused.Add(1)
+					}
+				})
+				time.Sleep(50 * time.Millisecond)
+			}
+			callers.Wait()
+			require.Zero(t, late.Load(), "callers that were refused after more than 150 ms")
+			require.LessOrEqual(t, unknown.Load(), int64(6), "callers without a definite reply: only those of the first moment of 3 s")
+			require.Equal(t, int64(60), unknown.Load()+refused.Load())
+			s.isResetting.Store(false)
+			took, err := persist(sub)
+			require.NoError(t, err, "a record must be accepted once the store replies again")
+			require.Less(t, took, 150*time.Millisecond)
+		})
+	})
 }
--- a/internal/standin/fencer/store.go
+++ b/internal/standin/fencer/store.go
@@ -33,6 +33,10 @@
 	// take effect without a reply.
 	isDown      bool
 	lostReplies int
+	// lose decides whether the reply to an append is lost, and how much later the append then
+	// takes effect; nil loses none. appends counts the appends to each topic that it has decided on.
+	lose    func(append int) (isLost bool, delay time.Duration)
+	appends map[storer.Topic]int
 	// appendDuration is how long each append takes when the appends to each topic run one after
 	// the other; 0 means that they run concurrently. freeAt is when the last queued append of a
 	// topic ends.
@@ -52,8 +56,8 @@
 	s.isDown = isDown
 }
 
-// SetSlow makes the appends to each topic run one after the other, each for a duration; 0 makes
-// them run concurrently again.
+// SetSlow makes the appends to each topic run one after the other, each for a duration, and adds the
+// same duration to every reply; 0 makes the store fast and appends concurrent again.
 func (s *Store) SetSlow(duration time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,6 +93,26 @@
 	s.lostReplies = count
 }
 
+// SetLossy makes the store lose replies: for each append, numbered from 0 in its topic, lose reports
+// whether its reply is lost and how much later the append then takes effect. The caller waits until
+// its context ends. A nil function ends the losses.
+func (s *Store) SetLossy(lose func(append int) (isLost bool, delay time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose, s.appends = lose, make(map[storer.Topic]int)
+}
+
+// nextLoss decides whether the reply to the next append is lost.
+func (s *Store) nextLoss(topic storer.Topic) (bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lose == nil {
+		return false, 0
+	}
+	s.appends[topic]++
+	return s.lose(s.appends[topic] - 1)
+}
+
 // Put adds a record without an epoch, as operators and workers do.
 func (s *Store) Put(topic storer.Topic, entry storer.Entry) {
 	s.mu.Lock()
@@ -104,6 +128,20 @@
 	if err := s.simulateLatency(ctx); err != nil {
 		return 0, err
 	}
+	isLost, delay := s.nextLoss(call.Topic)
+	if isLost {
+		go func() {
+			s.clock.Sleep(delay)
+			_, _ = s.apply(call)
+		}()
+		<-ctx.Done()
+		return 0, errors.Errorf("append: reply lost: %w", storer.ErrOutcomeUnknown)
+	}
+	return s.apply(call)
+}
+
+// apply carries out an append once it is its turn.
+func (s *Store) apply(call storer.Append) (int64, error) {
 	if !s.waitForTurn(call.Topic) {
 		return 0, errors.Errorf("append: too many appends are queued: %w", storer.ErrRefused)
 	}
@@ -151,10 +189,13 @@
 }
 
 func (s *Store) simulateLatency(ctx context.Context) error {
+	s.mu.Lock()
+	latency := callLatency + s.appendDuration
+	s.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return errors.Errorf("call cancelled: %w", storer.ErrOutcomeUnknown)
-	case <-s.clock.After(callLatency):
+	case <-s.clock.After(latency):
 		return nil
 	}
 }
