Accept jobs on a starting host before it has read all, and ask no unresponsive holder

Hosts that are cut off from the holder asked it for each state and waited 300 ms.

Change: a host routes requests once it has the configuration, and takes the addresses of the hosts and the claim from the first pages. States that it can't tell come from the holder, else the reply says that it is not ready; counts of pending jobs wait until all is read. A holder that does not reply to probes is not asked for states.

Tests without a network: TestStartingHostAcceptsJobsBeforeItHasReadAll, TestUnresponsiveHolderIsNotAsked, TestHostsCutOffFromHolderServeInTime. Tried and left out: shorter pauses between reads on hosts that are cut off; failed probes wake the reads already, and the test passed without.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -100,9 +100,10 @@
 	state *journaler.State
 	// catalog has the configuration, the waves of upkeep and the host list as read from the store.
 	catalog *cataloger.Catalog
-	// jobsReadAt and claimsReadAt are when the topics were last read.
+	// jobsReadAt and claimsReadAt are when the topics were last read, storeReadAt is when any was.
 	jobsReadAt   time.Time
 	claimsReadAt time.Time
+	storeReadAt  time.Time
 	// nextJobOffset is the offset of the first unread record of the jobs topic.
 	nextJobOffset int64
 	// heartbeatAt is when a new record of the holder was last read, holderOffset the offset of
@@ -185,7 +186,7 @@
 		},
 		CachedStatus: func(id describer.JobID) forwarder.StatusReply { return k.resolver.CachedStatus(id) },
 	})
-	k.resolver = resolver.New(resolver.Options{View: k.jobView, Peers: k.forwarder, Clock: o.Clock, MaxViewAge: maxViewAge})
+	k.resolver = resolver.New(resolver.Options{View: k.jobView, Peers: k.forwarder, Clock: o.Clock, MaxViewAge: maxViewAge, IsHolderUnresponsive: k.isHolderUnresponsive})
 	k.router = router.New(router.Options{
 		Submitter: k, Forwarder: k.forwarder, View: k.prober.View, Clock: o.Clock, Scope: o.Scope,
 		IsStoreDown: k.isStoreDown, StoreReplies: k.storeReplies,
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +64,25 @@
 type refusableStore struct {
 	storer.Store
 	isRefusing atomic.Bool
+	// pageDelay is how long it takes to list the newest jobs, beside the page with all other records
+	// of their topic.
+	pageDelay time.Duration
+}
+
+func (s *refusableStore) Newest(ctx context.Context, topic storer.Topic, after string) (storer.Page, error) {
+	page, err := s.Store.Newest(ctx, topic, after)
+	if err != nil || topic != storer.Jobs || s.pageDelay == 0 {
+		return page, err
+	}
+	const lastKey = "i"
+	isFirst := after == ""
+	page.Entries = slices.DeleteFunc(page.Entries, func(e storer.Entry) bool { return (e.Key < lastKey) != isFirst })
+	if isFirst {
+		page.After = lastKey
+		return page, nil
+	}
+	time.Sleep(s.pageDelay)
+	return page, nil
 }
 
 func (s *refusableStore) Append(ctx context.Context, call storer.Append) (int64, error) {
@@ -79,10 +100,14 @@
 	fleet     *fencer.Fleet
 	hosts     []*coordinator.Coordinator
 	shutdowns []context.CancelFunc
+	// addresses are the hosts' addresses for their peers.
+	addresses []netip.AddrPort
 	// hostStores are the stores as the hosts access them, by index of the host.
 	hostStores []*refusableStore
-	// cores is the processor share of the hosts that start next.
-	cores float64
+	// cores is the processor share of the hosts that start next, pageDelay the delay of
+	// their lists of jobs.
+	cores     float64
+	pageDelay time.Duration
 }
 
 func newCell(t *testing.T, hosts int) *cell {
@@ -114,7 +139,8 @@
 
 func (c *cell) start(name, incarnation string) {
 	address, peers := c.network.add(name, incarnation)
-	hostStore := &refusableStore{Store: c.store}
+	c.addresses = append(c.addresses, address)
+	hostStore := &refusableStore{Store: c.store, pageDelay: c.pageDelay}
 	c.hostStores = append(c.hostStores, hostStore)
 	k := coordinator.New(coordinator.Options{
 		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, PeerAddress: address, Messenger: peers, Store: hostStore, Decoder: jsonDecoder{},
@@ -189,7 +215,9 @@
 		time.Sleep(2 * time.Second)
 		for host := range c.hosts {
 			c.requireCompleted(describer.JobID(fmt.Sprintf("job-%d", host)))
-			require.Zero(t, c.hosts[host].Pending("orders"))
+			pending, err := c.hosts[host].Pending("orders")
+			require.NoError(t, err)
+			require.Zero(t, pending)
 		}
 	})
 }
@@ -538,3 +566,56 @@
 		require.Equal(t, 40, c.fleet.Done())
 	})
 }
+
+// TestStartingHostAcceptsJobsBeforeItHasReadAll answers the pattern of many hosts that are killed at
+// once. It guards against callers that are refused while the hosts read thousands of jobs, although
+// the configuration and the way to the holder are known, and against states that are reported from
+// half of the log.
+func TestStartingHostAcceptsJobsBeforeItHasReadAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2)
+		defer c.shutDown()
+		require.NoError(t, c.submit(0, "a", 64))
+		c.pageDelay = 3 * time.Second
+		c.start("h-2", "incarnation-2")
+		time.Sleep(100 * time.Millisecond)
+		const started = 2
+		require.False(t, c.hosts[started].IsReady())
+		require.NoError(t, c.submit(started, "b", 4))
+		state, err := c.status(started, "a")
+		require.NoError(t, err, "the holder knows the state")
+		require.Equal(t, describer.JobRunning, state)
+		_, err = c.hosts[started].Pending("orders")
+		require.True(t, errors.Is(err, coordinator.ErrNotReady), "%v", err)
+		time.Sleep(10 * time.Second)
+		require.True(t, c.hosts[started].IsReady())
+		c.requireCompleted("a")
+		c.requireCompleted("b")
+	})
+}
+
+// TestHostsCutOffFromHolderServeInTime answers the pattern of many hosts that are cut off from their
+// peers, but not from the store and their callers. It guards against quick jobs whose end is shown late
+// there, since the hosts wait for a holder that does not reply.
+func TestHostsCutOffFromHolderServeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		defer c.shutDown()
+		holder := c.holder()
+		c.network.disconnect(c.addresses[holder])
+		time.Sleep(2 * time.Second)
+		require.Equal(t, holder, c.holder(), "a holder that appends keeps the claim")
+		for i := range 6 {
+			host, id := (holder+1+i%2)%3, describer.JobID(fmt.Sprintf("job-%d", i))
+			submittedAt := time.Now()
+			require.NoError(t, c.submit(host, id, 1))
+			for state := describer.JobQueued; state != describer.JobCompleted; time.Sleep(20 * time.Millisecond) {
+				var err error
+				state, err = c.status(host, id)
+				require.NoError(t, err)
+				require.LessOrEqual(t, time.Since(submittedAt), taskDuration+400*time.Millisecond, "job %d", i)
+			}
+			time.Sleep(time.Duration(100*i) * time.Millisecond)
+		}
+	})
+}
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -33,8 +33,8 @@
 // followers returns a follower for each topic that the host reads.
 func (k *Coordinator) followers() []*follower.Follower {
 	followers := []*follower.Follower{
-		{Topic: storer.Jobs, Reset: k.applyJobs, Apply: k.applyJobs, Pause: k.readPause(0, jobsPause)},
-		{Topic: storer.Claims, Reset: k.applyClaims, Apply: k.applyClaims, OnFailure: k.recordClaimsFailure, Pause: k.readPause(holderClaimsPause, claimsPause), Wake: k.claimsWaker},
+		{Topic: storer.Jobs, Reset: k.applyJobs, ApplyPage: k.applyRoutes, Apply: k.applyJobs, Pause: k.readPause(0, jobsPause)},
+		{Topic: storer.Claims, Reset: k.applyClaims, ApplyPage: k.applyRoutes, Apply: k.applyClaims, OnFailure: k.recordClaimsFailure, Pause: k.readPause(holderClaimsPause, claimsPause), Wake: k.claimsWaker},
 		{Topic: storer.Operators, Reset: k.applyOperators, Apply: k.applyOperators, Pause: k.readPause(operatorsPause, operatorsPause)},
 		{Topic: storer.Workers, Reset: k.resetWorkers, Apply: k.applyWorkers, Pause: k.readPause(holderWorkersPause, workersPause), RelistInterval: relistInterval},
 	}
@@ -57,17 +57,37 @@
 	}
 }
 
+// isHolderUnresponsive reports whether the holder does not reply to probes of this host.
+func (k *Coordinator) isHolderUnresponsive() bool { return k.prober.View().IsUnresponsive }
+
 func (k *Coordinator) recordClaimsFailure() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.claimsFailedAt = k.now()
 }
 
+// applyRoutes applies the records of a page that tell where requests can be sent. A host that has just
+// started can then forward requests while it still reads the jobs.
+func (k *Coordinator) applyRoutes(entries []storer.Entry) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.storeReadAt = k.now()
+	for _, e := range entries {
+		if name, found := journaler.HostOf(e.Record); found {
+			k.announcer.MarkSeen(name, k.storeReadAt)
+		}
+		if journaler.IsRoute(e.Record) {
+			k.applyRecord(k.storeReadAt, e)
+		}
+	}
+}
+
 // applyJobs applies records of the jobs topic and passes changed jobs to the dispatcher.
 func (k *Coordinator) applyJobs(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.jobsReadAt = k.now()
+	k.storeReadAt = k.jobsReadAt
 	for _, e := range entries {
 		if name, found := journaler.HostOf(e.Record); found {
 			k.announcer.MarkSeen(name, k.jobsReadAt)
@@ -91,7 +111,7 @@
 	if k.state.HolderOffset > k.holderOffset || k.claimsReadAt.IsZero() {
 		k.holderOffset, k.heartbeatAt = k.state.HolderOffset, now
 	}
-	k.claimsReadAt = now
+	k.claimsReadAt, k.storeReadAt = now, now
 	k.applyClaim()
 }
 
@@ -113,6 +133,7 @@
 func (k *Coordinator) applyOperators(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.storeReadAt = k.now()
 	if isNew := k.catalog.ApplyOperators(entries); !isNew || k.holder == nil {
 		return
 	}
@@ -134,14 +155,16 @@
 	defer k.mu.Unlock()
 	// The reset and the update of the dispatcher share one critical section, so that a takeover
 	// never starts with an empty host list.
-	k.catalog.ResetWorkers(entries, k.now())
+	k.storeReadAt = k.now()
+	k.catalog.ResetWorkers(entries, k.storeReadAt)
 	k.setWorkers()
 }
 
 func (k *Coordinator) applyWorkers(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.catalog.ApplyWorkers(entries, k.now())
+	k.storeReadAt = k.now()
+	k.catalog.ApplyWorkers(entries, k.storeReadAt)
 	// If nothing changed, the dispatcher already has the list.
 	if len(entries) > 0 {
 		k.setWorkers()
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -56,9 +56,20 @@
 	return k.router.Persist(ctx, record)
 }
 
-// Status returns a job's state. Errors wrap ErrJobNotFound or storer.ErrOutcomeUnknown.
+// Status returns a job's state. Errors wrap ErrJobNotFound, ErrNotReady or storer.ErrOutcomeUnknown.
 func (k *Coordinator) Status(ctx context.Context, id describer.JobID) (describer.JobState, error) {
-	return k.resolver.Status(ctx, id)
+	state, err := k.resolver.Status(ctx, id)
+	if errors.Is(err, storer.ErrOutcomeUnknown) && !k.hasReadJobs() {
+		return state, errors.Errorf("status of job %s: %w", id, ErrNotReady)
+	}
+	return state, err
+}
+
+// hasReadJobs reports whether this host has read the configuration and all jobs.
+func (k *Coordinator) hasReadJobs() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.hasReadCell()
 }
 
 // jobView returns this host's view of a job.
@@ -80,12 +91,8 @@
 func (k *Coordinator) isStoreDown() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	readAt := k.jobsReadAt
-	if k.claimsReadAt.After(readAt) {
-		readAt = k.claimsReadAt
-	}
-	sinceRead := k.now().Sub(readAt)
-	return sinceRead > storeTimeout || sinceRead > storeErrorTimeout && k.claimsFailedAt.After(readAt)
+	sinceRead := k.now().Sub(k.storeReadAt)
+	return sinceRead > storeTimeout || sinceRead > storeErrorTimeout && k.claimsFailedAt.After(k.storeReadAt)
 }
 
 // persistForPeer persists a record of another host. A host that can't reach the store, or has not read
@@ -132,20 +139,24 @@
 	return errors.Wrap(err, "check the store")
 }
 
-// Pending returns the number of accepted jobs of a queue of which no task has started.
-func (k *Coordinator) Pending(queue string) int {
+// Pending returns the number of accepted jobs of a queue of which no task has started. The error is
+// ErrNotReady before all jobs are read.
+func (k *Coordinator) Pending(queue string) (int, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.state.Pending(queue)
+	if !k.hasReadCell() {
+		return 0, ErrNotReady
+	}
+	return k.state.Pending(queue), nil
 }
 
 // Route returns the queue for a request and the rest of its path after the queue's prefix. Of
-// the queues of the host, the one with the longest matching prefix wins. Errors wrap ErrNotReady,
-// or ErrJobNotFound if no queue matches.
+// the queues of the host, the one with the longest matching prefix wins. Errors wrap ErrNotReady before
+// the configuration is read, or ErrJobNotFound if no queue matches.
 func (k *Coordinator) Route(host, path string) (describer.Queue, string, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.hasReadCell() {
+	if k.catalog.Config.Version == 0 {
 		return describer.Queue{}, "", ErrNotReady
 	}
 	queue, rest, found := k.catalog.Config.Route(host, path)
--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -37,7 +37,7 @@
 	checkInterval = 500 * time.Millisecond
 )
 
-// Follower reads a topic. OnFailure and Wake may be nil.
+// Follower reads a topic. ApplyPage, OnFailure and Wake may be nil.
 type Follower struct {
 	Store  storer.Store
 	Clock  clockwork.Clock
@@ -46,6 +46,8 @@
 	// Reset receives the newest record of each key, by offset. It is called at the start, after
 	// each RelistInterval, and after the store dropped records that were not read yet.
 	Reset func(entries []storer.Entry)
+	// ApplyPage receives each page of the newest records as soon as it is read, before Reset gets all.
+	ApplyPage func(entries []storer.Entry)
 	// Apply receives new records in log order; it is also called with none after an empty read.
 	Apply func(entries []storer.Entry)
 	// OnFailure is called after each failed read.
@@ -177,6 +179,9 @@
 		if from < 0 {
 			from = page.End
 		}
+		if f.ApplyPage != nil {
+			f.ApplyPage(page.Entries)
+		}
 		entries = append(entries, page.Entries...)
 		if page.After == "" {
 			break
--- a/internal/entry/resolver/resolver.go
+++ b/internal/entry/resolver/resolver.go
@@ -47,6 +47,9 @@
 	View  func(id describer.JobID) View
 	Peers Peers
 	Clock clockwork.Clock
+	// IsHolderUnresponsive reports that the holder does not reply, so that a request to it would only
+	// delay the caller; nil means that it replies.
+	IsHolderUnresponsive func() bool
 	// MaxViewAge is the age from which the view is too old to tell that a job does not exist.
 	MaxViewAge time.Duration
 }
@@ -57,7 +60,12 @@
 }
 
 // New returns a Resolver.
-func New(options Options) *Resolver { return &Resolver{options: options} }
+func New(options Options) *Resolver {
+	if options.IsHolderUnresponsive == nil {
+		options.IsHolderUnresponsive = func() bool { return false }
+	}
+	return &Resolver{options: options}
+}
 
 func (a *Resolver) isFresh(v View) bool {
 	return a.options.Clock.Now().Sub(v.ReadAt) < a.options.MaxViewAge
@@ -70,7 +78,10 @@
 	if view.IsKnown && view.State.IsFinal() {
 		return view.State, nil
 	}
-	reply := a.options.Peers.StatusFromHolder(ctx, id)
+	reply := forwarder.StatusReply{IsUnknown: true}
+	if !a.options.IsHolderUnresponsive() {
+		reply = a.options.Peers.StatusFromHolder(ctx, id)
+	}
 	switch {
 	case !reply.IsUnknown:
 	case a.isFresh(view):
--- a/internal/entry/resolver/resolver_test.go
+++ b/internal/entry/resolver/resolver_test.go
@@ -64,3 +64,17 @@
 		})
 	}
 }
+
+// TestUnresponsiveHolderIsNotAsked guards against callers that wait for the time limit of a request to
+// a holder that is known not to reply.
+func TestUnresponsiveHolderIsNotAsked(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	a := resolver.New(resolver.Options{
+		View:  func(describer.JobID) resolver.View { return resolver.View{IsKnown: true, ReadAt: now} },
+		Peers: peers{holder: forwarder.StatusReply{State: describer.JobCompleted}},
+		Clock: clockwork.NewFakeClockAt(now), MaxViewAge: time.Second, IsHolderUnresponsive: func() bool { return true },
+	})
+	state, err := a.Status(t.Context(), "a")
+	require.NoError(t, err)
+	require.Equal(t, describer.JobQueued, state)
+}
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -224,6 +224,10 @@
 // HostOf returns the name of the entry host that a record announces; false for other records.
 func HostOf(r Record) (string, bool) { return strings.CutPrefix(r.Key, hostPrefix) }
 
+// IsRoute reports whether a record tells where requests can be sent: it announces an entry host, or
+// is the claim.
+func IsRoute(r Record) bool { return r.Key == claimKey || strings.HasPrefix(r.Key, hostPrefix) }
+
 // Entry is the state of a job according to the log.
 type Entry struct {
 	ID describer.JobID
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -129,5 +129,9 @@
   'case found && entry.HasProgress():' 'case false:' $dispatcher 'TestJobsAcceptedByHolder/a_submission_that_is_not_read'
 mutant "fence: a new holder waits for runs of a job that a former one accepted" internal/fleet/dispatcher/dispatcher.go \
   'entry.HasProgress() && entry.Progress.Epoch != r.Options.Epoch' 'false' $dispatcher 'TestJobsAcceptedByHolder/a_new_holder'
+mutant "fence: a holder that does not reply is not asked for a state" internal/entry/resolver/resolver.go \
+  'if !a.options.IsHolderUnresponsive() {' 'if true {' internal/entry/resolver 'TestUnresponsiveHolderIsNotAsked'
+mutant "fence: a starting host forwards requests before it has read all jobs" internal/entry/coordinator/follow.go \
+  'ApplyPage: k.applyRoutes, Apply: k.applyJobs' 'Apply: k.applyJobs' internal/entry/coordinator 'TestStartingHostAcceptsJobsBeforeItHasReadAll'
 echo "mutants: $survived survived"
 [ "$survived" = 0 ]
