Split the coordinator: claims, commands, reads and records of this host have packages of their own

claimant appends claims, delegator runs operators' commands on the holder, tracker knows when the store was last read, accepter persists records on this host; the loop that resigns moves to resigner.

--- a/internal/entry/announcer/announcer.go
+++ b/internal/entry/announcer/announcer.go
@@ -106,6 +106,12 @@
 	return a.announcedAt
 }
 
+// IsAnnouncedFor reports whether this host was announced at least a duration ago.
+func (a *Announcer) IsAnnouncedFor(duration time.Duration) bool {
+	at := a.AnnouncedAt()
+	return !at.IsZero() && a.options.Clock.Now().Sub(at) >= duration
+}
+
 // StoreDelay returns how long the append of the latest successful announcement took.
 func (a *Announcer) StoreDelay() time.Duration {
 	a.mu.Lock()
--- /dev/null
+++ b/internal/entry/claimant/claimant.go
@@ -0,0 +1,61 @@
+// Package claimant appends claims of a host to the log. A claim is the record that makes one host the
+// leader of the cell; the log shows which claim of an epoch won.
+//
+// # Usage
+//
+//	c := claimant.New(claimant.Options{Self: name, Incarnation: id, Appender: appender, Logger: logger})
+//	mayHaveTakenEffect := c.Claim(ctx, epoch, lease, reason)
+package claimant
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/journaler"
+)
+
+// claimTimeout bounds the append of a claim.
+const claimTimeout = time.Second
+
+// Options configure a Claimant.
+type Options struct {
+	// Self is this host's name.
+	Self        string
+	Incarnation string
+	Appender    storer.Appender
+	Logger      *zap.Logger
+}
+
+// Claimant appends claims.
+type Claimant struct {
+	options Options
+}
+
+// New returns a Claimant.
+func New(options Options) *Claimant { return &Claimant{options: options} }
+
+// Claim appends a claim of an epoch. The lease is the longest one that this holder or one before it
+// grants. Claim returns false if the store refused the append, so that the epoch may be tried again.
+func (c *Claimant) Claim(ctx context.Context, epoch int64, lease time.Duration, reason string) bool {
+	record, err := journaler.NewClaim(journaler.Claim{
+		Epoch: epoch, Host: c.options.Self, Incarnation: c.options.Incarnation, Lease: lease,
+	})
+	if err != nil {
+		c.options.Logger.Error("claim: Encoding the claim failed; the cell is not claimed.", zap.String("error", err.Error()))
+		return false
+	}
+	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	_, err = c.options.Appender.Append(claimCtx, storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: epoch})
+	outcome := "appended"
+	if err != nil {
+		outcome = err.Error()
+	}
+	c.options.Logger.Info("claim: Attempted to claim the cell.", zap.Int64("epoch", epoch),
+		zap.String("reason", reason), zap.String("outcome", outcome))
+	return !errors.Is(err, storer.ErrRefused)
+}
--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -25,9 +25,12 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"lentilrock.example/internal/entry/accepter"
 	"lentilrock.example/internal/entry/announcer"
 	"lentilrock.example/internal/entry/cataloger"
 	"lentilrock.example/internal/entry/checker"
+	"lentilrock.example/internal/entry/claimant"
+	"lentilrock.example/internal/entry/delegator"
 	"lentilrock.example/internal/entry/distributor"
 	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/holder"
@@ -40,6 +43,7 @@
 	"lentilrock.example/internal/entry/router"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/entry/submitter"
+	"lentilrock.example/internal/entry/tracker"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
@@ -84,12 +88,14 @@
 	// storeReplies asks the store for a reply.
 	storeReplies func(ctx context.Context) bool
 	submitter    *submitter.Submitter
+	accepter     *accepter.Accepter
 	forwarder    *forwarder.Forwarder
 	router       *router.Router
 	announcer    *announcer.Announcer
 	resolver     *resolver.Resolver
 	distributor  *distributor.Distributor
-	processor    *processor.Processor
+	delegator    *delegator.Delegator
+	claimant     *claimant.Claimant
 	recorder     recorder.Recorder
 	prober       *prober.Prober
 	// claimsWaker triggers a read of the claims without waiting for the usual pause.
@@ -100,17 +106,14 @@
 	state *journaler.State
 	// catalog has the configuration, the waves of upkeep and the host list as read from the store.
 	catalog *cataloger.Catalog
-	// jobsReadAt and claimsReadAt are when the topics were last read, storeReadAt is when any was.
-	jobsReadAt   time.Time
-	claimsReadAt time.Time
-	storeReadAt  time.Time
+	// reads has the times of the last reads from the store.
+	reads tracker.Tracker
 	// nextJobOffset is the offset of the first unread record of the jobs topic.
 	nextJobOffset int64
 	// heartbeatAt is when a new record of the holder was last read, holderOffset the offset of
-	// that record. claimsFailedAt is when a read of the claims last failed.
-	heartbeatAt    time.Time
-	claimsFailedAt time.Time
-	holderOffset   int64
+	// that record.
+	heartbeatAt  time.Time
+	holderOffset int64
 	// holder and dispatcher are nil while this host does not hold the claim.
 	holder     *holder.Holder
 	dispatcher *dispatcher.Dispatcher
@@ -155,6 +158,7 @@
 		},
 		Store: o.Store, Clock: o.Clock, Logger: o.Logger,
 	})
+	k.claimant = claimant.New(claimant.Options{Self: o.Name, Incarnation: o.Incarnation, Appender: k.repeater, Logger: o.Logger})
 	k.distributor = distributor.New(distributor.Options{
 		Self: o.Name, DataCentre: o.DataCentre, Advisor: o.Advisor, Messenger: o.Messenger, Hosts: k.hosts, Clock: o.Clock,
 	})
@@ -163,7 +167,8 @@
 		HostCount: func() int { return len(k.hosts()) },
 	})
 	k.resigner = resigner.New(resigner.Options{
-		Self: o.Name, Cores: o.Cores, Messenger: o.Messenger, Hosts: k.hosts, IsReady: k.IsReady,
+		Self: o.Name, Cores: o.Cores, Messenger: o.Messenger, Hosts: k.hosts, IsReady: k.IsReady, Clock: o.Clock,
+		IsHolder: k.IsHolder, Release: k.release,
 	})
 }
 
@@ -175,9 +180,10 @@
 		Appender: k.repeater, Clock: o.Clock, Logger: o.Logger, OnAppended: k.applyAppended,
 		HasFallbackHost: func() bool { return k.forwarder.HasHolder() }, StoreReplies: k.storeReplies,
 	})
+	k.accepter = accepter.New(accepter.Options{Holder: k.currentHolder, Submitter: k.submitter, IsStoreDown: k.isStoreDown})
 	k.forwarder = forwarder.New(forwarder.Options{
 		Self: o.Name, DataCentre: o.DataCentre, Messenger: o.Messenger, Hosts: k.hosts, Holder: k.remoteHolder,
-		Persist: k.persistForPeer,
+		Persist: k.accepter.PersistForPeer,
 		CanPersist: func(ctx context.Context) bool {
 			return !k.isStoreDown() && (!k.submitter.IsFailing() || k.storeReplies(ctx))
 		},
@@ -188,20 +194,20 @@
 	})
 	k.resolver = resolver.New(resolver.Options{View: k.jobView, Peers: k.forwarder, Clock: o.Clock, MaxViewAge: maxViewAge, IsHolderUnresponsive: k.isHolderUnresponsive})
 	k.router = router.New(router.Options{
-		Submitter: k, Forwarder: k.forwarder, View: k.prober.View, Clock: o.Clock, Scope: o.Scope,
+		Submitter: k.accepter, Forwarder: k.forwarder, View: k.prober.View, Clock: o.Clock, Scope: o.Scope,
 		IsStoreDown: k.isStoreDown, StoreReplies: k.storeReplies,
 	})
 }
 
 // initOperators creates the handler of operators' commands.
 func (k *Coordinator) initOperators() {
-	k.processor = processor.New(processor.Options{
-		WithView: k.read, Persist: k.router.Persist, Explain: k.explain,
-		IsRefused: func(err error) bool { return errors.Is(err, storer.ErrRefused) },
+	k.delegator = delegator.New(delegator.Options{
+		Processor: processor.New(processor.Options{
+			WithView: k.read, Persist: k.router.Persist, Explain: k.recorder.Explain,
+			IsRefused: func(err error) bool { return errors.Is(err, storer.ErrRefused) },
+		}),
+		Messenger: k.options.Messenger, Holder: k.remoteHolder,
 	})
-	if k.options.Messenger != nil {
-		messenger.Handle(k.options.Messenger, commandKind, k.executeForPeer)
-	}
 }
 
 // Run follows the store and serves as a host of the cell until ctx ends.
@@ -214,7 +220,7 @@
 	loops.Go(func() { k.announcer.Run(ctx) })
 	loops.Go(func() { k.runElections(ctx) })
 	loops.Go(func() { k.prober.Run(ctx) })
-	loops.Go(func() { k.yieldToLargerHost(ctx) })
+	loops.Go(func() { k.resigner.Run(ctx) })
 	loops.Wait()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -260,7 +266,7 @@
 	now := k.now()
 	counts := Counts{
 		ConfigVersion: k.catalog.Config.Version, Epoch: k.state.Claim.Epoch, Jobs: len(k.state.Jobs),
-		Workers: k.catalog.Size(), JobsAge: now.Sub(k.jobsReadAt), ClaimsAge: now.Sub(k.claimsReadAt),
+		Workers: k.catalog.Size(), JobsAge: now.Sub(k.reads.JobsAt), ClaimsAge: now.Sub(k.reads.ClaimsAt),
 	}
 	if k.holder != nil {
 		counts.Holder = 1
@@ -274,7 +280,7 @@
 
 // hasReadCell reports whether the configuration and the log were each read at least once.
 func (k *Coordinator) hasReadCell() bool {
-	return k.catalog.Config.Version > 0 && !k.jobsReadAt.IsZero() && !k.claimsReadAt.IsZero()
+	return k.catalog.Config.Version > 0 && k.reads.HasReadAll()
 }
 
 // Config returns the newest configuration; its version is 0 before the first is read.
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/elector"
@@ -18,16 +17,14 @@
 const (
 	// electionInterval is how often a host checks whether to claim the cell.
 	electionInterval = 50 * time.Millisecond
-	// claimTimeout bounds the append of a claim.
-	claimTimeout = time.Second
+	// takeoverReadTimeout bounds a read of the jobs during a takeover.
+	takeoverReadTimeout = time.Second
 	// claimRetryPause is the pause after an attempt to claim the cell, so that a claim that the store
 	// refused is not retried at once.
 	claimRetryPause = 400 * time.Millisecond
 	// firstClaimDelay lets the hosts of a new cell read each other's announcements before one of
 	// them claims the cell.
 	firstClaimDelay = 300 * time.Millisecond
-	// yieldInterval is how often a small holder checks for a larger host.
-	yieldInterval = 3 * time.Second
 	// readRetryPause is the pause after a failed read during a takeover.
 	readRetryPause = 50 * time.Millisecond
 )
@@ -53,7 +50,7 @@
 	if k.isLeaving || k.holder != nil || !k.hasReadCell() || k.catalog.ListedAt.IsZero() {
 		return 0, ""
 	}
-	if isNew := k.state.Claim.Epoch == 0; isNew && !k.isAnnounced(now) {
+	if isNew := k.state.Claim.Epoch == 0; isNew && !k.announcer.IsAnnouncedFor(firstClaimDelay) {
 		return 0, ""
 	}
 	probed := k.prober.View()
@@ -62,59 +59,26 @@
 	}
 	return elector.Decide(elector.View{
 		Self: k.options.Name, Incarnation: k.options.Incarnation, Claim: k.state.Claim,
-		ReadAt: k.claimsReadAt, FailedAt: k.claimsFailedAt, HeartbeatAt: k.heartbeatAt, StoreDelay: k.announcer.StoreDelay(), IsSmall: k.isSmall(),
+		ReadAt: k.reads.ClaimsAt, FailedAt: k.reads.ClaimsFailedAt, HeartbeatAt: k.heartbeatAt, StoreDelay: k.announcer.StoreDelay(), IsSmall: k.isSmall(),
 		ConfirmedAt: probed.AnsweredAt, UnansweredSince: probed.FailingSince, AttemptedEpoch: k.attemptedEpoch, AttemptedAt: k.attemptedAt,
 	}, now)
 }
 
-// isAnnounced reports whether this host was announced long enough ago to have read the
-// announcements of the others.
-func (k *Coordinator) isAnnounced(now time.Time) bool {
-	at := k.announcer.AnnouncedAt()
-	return !at.IsZero() && now.Sub(at) >= firstClaimDelay
-}
-
 // isSmall reports whether a considerably larger host is known; the caller has the lock.
 func (k *Coordinator) isSmall() bool { return resigner.IsSmall(k.options.Cores, k.liveHosts()) }
 
-// yieldToLargerHost releases the claim once a considerably larger host is ready to take over.
-func (k *Coordinator) yieldToLargerHost(ctx context.Context) {
-	for ctx.Err() == nil {
-		pauser.Pause(ctx, k.options.Clock, yieldInterval)
-		if k.IsHolder() && k.resigner.HasLargerReadyHost(ctx) {
-			k.release(ctx, "A larger host is ready to hold the cell.")
-		}
-	}
-}
-
 // appendClaim appends a claim. Whether it won is read from the log. An epoch is attempted
 // again only if the store refused the append.
 func (k *Coordinator) appendClaim(ctx context.Context, epoch int64, reason string) {
 	k.mu.Lock()
 	lease := k.dispatcherOptions().LongestLease()
 	k.mu.Unlock()
-	record, err := journaler.NewClaim(journaler.Claim{
-		Epoch: epoch, Host: k.options.Name, Incarnation: k.options.Incarnation, Lease: lease,
-	})
-	if err != nil {
-		k.options.Logger.Error("claim: Encoding the claim failed; the cell is not claimed.", zap.String("error", err.Error()))
-		return
-	}
-	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	_, err = k.repeater.Append(claimCtx, storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: epoch})
-	outcome := "appended"
-	if err != nil {
-		outcome = err.Error()
-	}
-	if !errors.Is(err, storer.ErrRefused) {
+	if k.claimant.Claim(ctx, epoch, lease, reason) {
 		k.mu.Lock()
 		k.attemptedEpoch, k.attemptedAt = epoch, k.now()
 		k.mu.Unlock()
 	}
 	k.claimsWaker.Wake()
-	k.options.Logger.Info("claim: Attempted to claim the cell.", zap.Int64("epoch", epoch),
-		zap.String("reason", reason), zap.String("outcome", outcome))
 }
 
 // applyClaim starts a takeover if the claim in the log is a new one of this host, and stops
@@ -142,7 +106,7 @@
 		if !isMine {
 			return
 		}
-		readCtx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+		readCtx, cancel := context.WithTimeout(context.Background(), takeoverReadTimeout)
 		entries, err := k.options.Store.Read(readCtx, storer.Jobs, from, 0)
 		cancel()
 		switch {
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -63,7 +63,7 @@
 func (k *Coordinator) recordClaimsFailure() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.claimsFailedAt = k.now()
+	k.reads.ClaimsFailedAt = k.now()
 }
 
 // applyRoutes applies the records of a page that tell where requests can be sent. A host that has just
@@ -71,13 +71,14 @@
 func (k *Coordinator) applyRoutes(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.storeReadAt = k.now()
+	now := k.now()
+	k.reads.RecordReply(now)
 	for _, e := range entries {
 		if name, found := journaler.HostOf(e.Record); found {
-			k.announcer.MarkSeen(name, k.storeReadAt)
+			k.announcer.MarkSeen(name, now)
 		}
 		if journaler.IsRoute(e.Record) {
-			k.applyRecord(k.storeReadAt, e)
+			k.applyRecord(now, e)
 		}
 	}
 }
@@ -86,13 +87,13 @@
 func (k *Coordinator) applyJobs(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.jobsReadAt = k.now()
-	k.storeReadAt = k.jobsReadAt
+	now := k.now()
+	k.reads.RecordJobs(now)
 	for _, e := range entries {
 		if name, found := journaler.HostOf(e.Record); found {
-			k.announcer.MarkSeen(name, k.jobsReadAt)
+			k.announcer.MarkSeen(name, now)
 		}
-		k.applyRecord(k.jobsReadAt, e)
+		k.applyRecord(now, e)
 		k.nextJobOffset = max(k.nextJobOffset, e.Offset+1)
 	}
 	if k.holder != nil {
@@ -108,10 +109,10 @@
 	for _, e := range entries {
 		k.applyRecord(now, e)
 	}
-	if k.state.HolderOffset > k.holderOffset || k.claimsReadAt.IsZero() {
+	if k.state.HolderOffset > k.holderOffset || k.reads.ClaimsAt.IsZero() {
 		k.holderOffset, k.heartbeatAt = k.state.HolderOffset, now
 	}
-	k.claimsReadAt, k.storeReadAt = now, now
+	k.reads.RecordClaims(now)
 	k.applyClaim()
 }
 
@@ -133,7 +134,7 @@
 func (k *Coordinator) applyOperators(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.storeReadAt = k.now()
+	k.reads.RecordReply(k.now())
 	if isNew := k.catalog.ApplyOperators(entries); !isNew || k.holder == nil {
 		return
 	}
@@ -155,16 +156,16 @@
 	defer k.mu.Unlock()
 	// The reset and the update of the dispatcher share one critical section, so that a takeover
 	// never starts with an empty host list.
-	k.storeReadAt = k.now()
-	k.catalog.ResetWorkers(entries, k.storeReadAt)
+	k.reads.RecordReply(k.now())
+	k.catalog.ResetWorkers(entries, k.now())
 	k.setWorkers()
 }
 
 func (k *Coordinator) applyWorkers(entries []storer.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.storeReadAt = k.now()
-	k.catalog.ApplyWorkers(entries, k.storeReadAt)
+	k.reads.RecordReply(k.now())
+	k.catalog.ApplyWorkers(entries, k.now())
 	// If nothing changed, the dispatcher already has the list.
 	if len(entries) > 0 {
 		k.setWorkers()
--- a/internal/entry/coordinator/hold.go
+++ b/internal/entry/coordinator/hold.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"lentilrock.example/internal/entry/accepter"
 	"lentilrock.example/internal/entry/holder"
 	"lentilrock.example/internal/entry/measurer"
 	"lentilrock.example/internal/fleet/dispatcher"
@@ -70,6 +71,16 @@
 	k.holder, k.dispatcher = nil, nil
 }
 
+// currentHolder returns the holder that runs on this host, or nil.
+func (k *Coordinator) currentHolder() accepter.Holder {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.holder == nil {
+		return nil
+	}
+	return k.holder
+}
+
 // hosts returns the entry hosts with recent announcements, sorted by name.
 func (k *Coordinator) hosts() []journaler.Host {
 	k.mu.Lock()
@@ -79,7 +90,7 @@
 
 // liveHosts is like hosts, but the caller has the lock.
 func (k *Coordinator) liveHosts() []journaler.Host {
-	return k.announcer.Live(k.state.Hosts, k.jobsReadAt)
+	return k.announcer.Live(k.state.Hosts, k.reads.JobsAt)
 }
 
 // remoteHolder returns the host that holds the cell; false if that is this host or none.
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"lentilrock.example/internal/entry/follower"
-	"lentilrock.example/internal/entry/holder"
 	"lentilrock.example/internal/entry/resolver"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/describer"
@@ -18,11 +17,6 @@
 	// maxViewAge is how old the last read of the jobs may be for this host to report that a job
 	// does not exist.
 	maxViewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
-	// storeTimeout is how long after the last read a store that does not reply counts as down. It
-	// exceeds the second that a read may wait for records.
-	storeTimeout = follower.ReadWait + 900*time.Millisecond
-	// storeErrorTimeout is how long after the last read a store that returns errors counts as down.
-	storeErrorTimeout = 700 * time.Millisecond
 )
 
 // Submit persists a job; the job is accepted once Submit returns nil. Errors wrap
@@ -76,11 +70,7 @@
 func (k *Coordinator) jobView(id describer.JobID) resolver.View {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	// Submissions are in the topic of jobs or, if a holder persisted them, in that of claims.
-	view := resolver.View{ReadAt: k.jobsReadAt}
-	if k.claimsReadAt.Before(view.ReadAt) {
-		view.ReadAt = k.claimsReadAt
-	}
+	view := resolver.View{ReadAt: k.reads.ViewAt()}
 	if entry, found := k.state.Find(id); found {
 		view.IsKnown, view.State = true, entry.JobState()
 	}
@@ -91,40 +81,7 @@
 func (k *Coordinator) isStoreDown() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	sinceRead := k.now().Sub(k.storeReadAt)
-	return sinceRead > storeTimeout || sinceRead > storeErrorTimeout && k.claimsFailedAt.After(k.storeReadAt)
-}
-
-// persistForPeer persists a record of another host. A host that can't reach the store, or has not read
-// from it since its start, refuses the record without sending it.
-func (k *Coordinator) persistForPeer(ctx context.Context, record journaler.Record) error {
-	if k.isStoreDown() {
-		return errors.Errorf("this host does not reach the store: %w", storer.ErrRefused)
-	}
-	return k.Persist(ctx, record)
-}
-
-// Persist persists a record from this host, without its peers. If this host is the holder, it
-// persists submissions under its claim, so that their tasks may start at once. Errors wrap
-// storer.ErrRefused, after which the record is never stored, or storer.ErrOutcomeUnknown.
-func (k *Coordinator) Persist(ctx context.Context, record journaler.Record) error {
-	k.mu.Lock()
-	h := k.holder
-	k.mu.Unlock()
-	id, isJob := journaler.JobOf(record)
-	if h == nil || !isJob {
-		return k.submitter.Persist(ctx, record)
-	}
-	err := h.Submit(ctx, id, record)
-	if !errors.Is(err, holder.ErrStopped) {
-		return err
-	}
-	// The first submission of a job counts, so it may be sent again.
-	again := k.submitter.Persist(ctx, record)
-	if errors.Is(again, storer.ErrRefused) && !errors.Is(err, storer.ErrRefused) {
-		return errors.Errorf("submit job %s again: %s: %w", id, again.Error(), storer.ErrOutcomeUnknown)
-	}
-	return again
+	return k.reads.IsStoreDown(k.now())
 }
 
 // readStore reads from the store without waiting for records, to check that it replies.
--- a/internal/entry/recorder/recorder.go
+++ b/internal/entry/recorder/recorder.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"lentilrock.example/internal/fleet/describer"
 )
 
 // maxLines bounds the lines in memory. It is enough for some minutes of a busy cell.
@@ -73,3 +75,12 @@
 	}
 	return matches
 }
+
+// Explain returns the recent lines about a job as text that begins with the time in UTC.
+func (c *Recorder) Explain(job describer.JobID) []string {
+	var texts []string
+	for _, line := range c.LinesOf(string(job)) {
+		texts = append(texts, line.At.UTC().Format(time.RFC3339Nano)+" "+line.Text)
+	}
+	return texts
+}
--- a/internal/entry/resigner/resigner.go
+++ b/internal/entry/resigner/resigner.go
@@ -4,10 +4,10 @@
 //
 // # Usage
 //
-//	y := resigner.New(resigner.Options{Self: name, Cores: cores, Messenger: peers, Hosts: hosts, IsReady: ready})
-//	if y.HasLargerReadyHost(ctx) {
-//		// release the claim, so that the larger host can win the next one
-//	}
+//	y := resigner.New(resigner.Options{
+//		Self: name, Cores: cores, Messenger: peers, Hosts: hosts, IsReady: ready, Clock: clock, IsHolder: isHolder, Release: release,
+//	})
+//	go y.Run(ctx)
 package resigner
 
 import (
@@ -17,7 +17,10 @@
 	"slices"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/node/pauser"
 	"lentilrock.example/internal/peer/messenger"
 )
 
@@ -30,6 +33,8 @@
 	// callTimeout bounds a call to a host. It covers two round trips between regions and the
 	// delay on a busy host.
 	callTimeout = 500 * time.Millisecond
+	// checkInterval is how often a holder checks for a larger host.
+	checkInterval = 3 * time.Second
 	// maxCandidates bounds the hosts that HasLargerReadyHost calls one after the other.
 	maxCandidates = 3
 )
@@ -45,6 +50,10 @@
 	Hosts     func() []journaler.Host
 	// IsReady reports whether this host is ready to become the holder.
 	IsReady func() bool
+	Clock   clockwork.Clock
+	// IsHolder reports whether this host holds the claim, and Release releases it.
+	IsHolder func() bool
+	Release  func(ctx context.Context, reason string)
 }
 
 // Resigner compares the size of this host with those of its peers.
@@ -61,6 +70,17 @@
 	return y
 }
 
+// Run releases the claim of this host whenever a considerably larger host is ready to take over, until
+// ctx ends.
+func (y *Resigner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pauser.Pause(ctx, y.options.Clock, checkInterval)
+		if y.options.IsHolder() && y.HasLargerReadyHost(ctx) {
+			y.options.Release(ctx, "A larger host is ready to hold the cell.")
+		}
+	}
+}
+
 // IsSmall reports whether a host with this number of cores is small, which means that it has
 // less than smallRatio of the cores of one of the hosts.
 func IsSmall(cores float64, hosts []journaler.Host) bool {
--- a/internal/fleet/dispatcher/accept_test.go
+++ b/internal/fleet/dispatcher/accept_test.go
@@ -11,8 +11,9 @@
 	"lentilrock.example/internal/standin/fencer"
 )
 
-// accept submits a job through the holder, which persists it in the log that the claim fences.
-func (c *cell) accept(id describer.JobID, steps ...describer.Step) []journaler.Record {
+// accept submits job a through the holder, which persists it in the log that the claim fences.
+func (c *cell) accept(steps ...describer.Step) []journaler.Record {
+	const id = describer.JobID("a")
 	submission, err := journaler.NewJob(&describer.Job{
 		ID: id, Queue: describer.Queue{Service: "kitchen", MaxAttempts: 2}, Spec: "spec", Steps: steps, Received: c.clock.Now(),
 	})
@@ -34,7 +35,7 @@
 		c := newCell(t, 2)
 		c.run(4 * tickInterval)
 		c.isStoreDown = true
-		c.accept("a", tasks(4))
+		c.accept(tasks(4))
 		c.run(4 * tickInterval)
 		require.Equal(t, 4, c.countRunning())
 	})
@@ -42,7 +43,7 @@
 		c := newCell(t, 2)
 		c.run(4 * tickInterval)
 		c.isStoreDown = true
-		c.accept("a", tasks(8))
+		c.accept(tasks(8))
 		c.run(2 * tickInterval)
 		require.Equal(t, 8, c.countRunning())
 		c.fleet.Update("w-1", func(w *fencer.Worker) { w.IsUnresponsive = true })
@@ -58,10 +59,10 @@
 	t.Run("a repeated submission leaves its progress as it is", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.run(4 * tickInterval)
-		c.accept("a", tasks(8))
+		c.accept(tasks(8))
 		c.run(runTime + 4*tickInterval)
 		require.Equal(t, 4, c.fleet.Done())
-		require.Empty(t, c.accept("a", tasks(8)))
+		require.Empty(t, c.accept(tasks(8)))
 		c.claim()
 		c.run(4 * runTime)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
@@ -74,7 +75,7 @@
 		c.append(progress)
 		c.claim()
 		c.run(4 * tickInterval)
-		require.Len(t, c.accept("a", tasks(4)), 1)
+		require.Len(t, c.accept(tasks(4)), 1)
 		c.run(2 * runTime)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		require.Equal(t, 1, c.fleet.Done(), "tasks that were done ran again")
