Bound the size of a job's record and of an append

Cause, from reading the diff: the holder repeats a fenced append until the store takes it, so one submission larger than the store accepts (20,000 small steps in a body of 256 KB) would have held up the progress of the whole cell. Before, such a record had the other records of its batch refused.

Change: a record of over 192 KiB is refused with 413, the holder takes records of up to 64 KiB under its claim and sends larger ones to the jobs topic, and appends end at 512 KiB of submissions. Test: TestLargeJobsLeaveTheCellServing, TestPersist.

--- a/internal/entry/accepter/accepter.go
+++ b/internal/entry/accepter/accepter.go
@@ -63,7 +63,7 @@
 func (a *Accepter) Persist(ctx context.Context, record journaler.Record) error {
 	h := a.options.Holder()
 	id, isJob := journaler.JobOf(record)
-	if h == nil || !isJob {
+	if h == nil || !isJob || len(record.Value) > holder.MaxSubmissionBytes {
 		return a.options.Submitter.Persist(ctx, record)
 	}
 	err := h.Submit(ctx, id, record)
--- a/internal/entry/accepter/accepter_test.go
+++ b/internal/entry/accepter/accepter_test.go
@@ -49,6 +49,7 @@
 	}{
 		{"the holder appends a submission under its claim", job, true, routes{}, "claim", nil},
 		{"another host appends it to the jobs topic", job, false, routes{}, "jobs", nil},
+		{"a very large submission goes to the jobs topic", journaler.Record{Key: "j/a", Value: make([]byte, holder.MaxSubmissionBytes+1)}, true, routes{}, "jobs", nil},
 		{"a cancellation goes to the jobs topic", cancel, true, routes{}, "jobs", nil},
 		{"a refusal of the holder is returned", job, true, routes{claim: refused}, "claim", storer.ErrRefused},
 		{"an unknown outcome is returned", job, true, routes{claim: storer.ErrOutcomeUnknown}, "claim", storer.ErrOutcomeUnknown},
--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -58,6 +58,8 @@
 	ErrNotReady = errors.New("the host does not know its cell yet")
 	// ErrJobNotFound means that the job, or a queue for a path, does not exist.
 	ErrJobNotFound = resolver.ErrJobNotFound
+	// ErrTooLarge means that the record of a job is larger than the store may accept.
+	ErrTooLarge = journaler.ErrTooLarge
 )
 
 // Options configure a coordinator.
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -619,3 +619,30 @@
 		}
 	})
 }
+
+// TestLargeJobsLeaveTheCellServing guards against one submission that the store does not accept and that
+// holds up the holder's appends, and with them the whole cell.
+func TestLargeJobsLeaveTheCellServing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 2)
+		defer c.shutDown()
+		steps := func(count int) []describer.Step {
+			steps := make([]describer.Step, count)
+			for i := range steps {
+				steps[i] = describer.Step{Count: 1, Need: describer.Resources{MilliCPU: 10}, Label: strings.Repeat("x", 50)}
+			}
+			return steps
+		}
+		queue, _, err := c.hosts[0].Route("a.example", "/orders/a")
+		require.NoError(t, err)
+		err = c.hosts[0].Submit(t.Context(), &describer.Job{ID: "huge", Queue: queue, Steps: steps(20_000)})
+		require.True(t, errors.Is(err, coordinator.ErrTooLarge), "%v", err)
+		for host := range c.hosts {
+			id := describer.JobID(fmt.Sprintf("large-%d", host))
+			require.NoError(t, c.hosts[host].Submit(t.Context(), &describer.Job{ID: id, Queue: queue, Steps: steps(1000)}))
+		}
+		require.NoError(t, c.submit(0, "a", 4))
+		time.Sleep(3 * time.Second)
+		c.requireCompleted("a")
+	})
+}
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -59,14 +59,11 @@
 	}
 	return elector.Decide(elector.View{
 		Self: k.options.Name, Incarnation: k.options.Incarnation, Claim: k.state.Claim,
-		ReadAt: k.reads.ClaimsAt, FailedAt: k.reads.ClaimsFailedAt, HeartbeatAt: k.heartbeatAt, StoreDelay: k.announcer.StoreDelay(), IsSmall: k.isSmall(),
+		ReadAt: k.reads.ClaimsAt, FailedAt: k.reads.ClaimsFailedAt, HeartbeatAt: k.heartbeatAt, StoreDelay: k.announcer.StoreDelay(), IsSmall: resigner.IsSmall(k.options.Cores, k.liveHosts()),
 		ConfirmedAt: probed.AnsweredAt, UnansweredSince: probed.FailingSince, AttemptedEpoch: k.attemptedEpoch, AttemptedAt: k.attemptedAt,
 	}, now)
 }
 
-// isSmall reports whether a considerably larger host is known; the caller has the lock.
-func (k *Coordinator) isSmall() bool { return resigner.IsSmall(k.options.Cores, k.liveHosts()) }
-
 // appendClaim appends a claim. Whether it won is read from the log. An epoch is attempted
 // again only if the store refused the append.
 func (k *Coordinator) appendClaim(ctx context.Context, epoch int64, reason string) {
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -13,14 +13,13 @@
 	"lentilrock.example/internal/fleet/journaler"
 )
 
-const (
-	// maxViewAge is how old the last read of the jobs may be for this host to report that a job
-	// does not exist.
-	maxViewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
-)
+// maxViewAge is how old the last read of the jobs may be for this host to report that a job does not
+// exist.
+const maxViewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
 
 // Submit persists a job; the job is accepted once Submit returns nil. Errors wrap
-// storer.ErrRefused, after which the job never runs, storer.ErrOutcomeUnknown or ErrNotReady.
+// storer.ErrRefused, after which the job never runs, storer.ErrOutcomeUnknown, ErrNotReady or
+// ErrTooLarge.
 func (k *Coordinator) Submit(ctx context.Context, job *describer.Job) error {
 	if k.jobView(job.ID).IsKnown {
 		return nil
--- a/internal/entry/holder/submission.go
+++ b/internal/entry/holder/submission.go
@@ -16,9 +16,10 @@
 const (
 	// submissionQueueSize bounds the submissions that wait to be appended.
 	submissionQueueSize = 1024
-	// maxSubmissions bounds the submissions in one append. With the largest specs, they stay below the
-	// largest request that the store accepts.
-	maxSubmissions = 256
+	// maxSubmissions and maxSubmissionsBytes bound the submissions in one append, so that it stays below
+	// the largest request that the store accepts. The holder repeats its appends until they succeed.
+	maxSubmissions      = 256
+	maxSubmissionsBytes = 512 << 10
 	// suspiciousAfter is how long an append may have no reply before it is checked whether the store
 	// replies at all. An append to a fast store from a distant host takes less.
 	suspiciousAfter = 600 * time.Millisecond
@@ -27,6 +28,9 @@
 	unresponsiveAfter = 1500 * time.Millisecond
 )
 
+// MaxSubmissionBytes is the size of the largest record that Submit takes.
+const MaxSubmissionBytes = 64 << 10
+
 // ErrStopped means that the holder stopped before it learned the outcome of an append. Errors that
 // also wrap storer.ErrRefused mean that the submission was not sent.
 var ErrStopped = errors.New("the holder has stopped")
@@ -94,7 +98,8 @@
 func (h *Holder) takeSubmissions(d *dispatcher.Dispatcher) ([]*submission, []journaler.Record) {
 	var taken []*submission
 	var records []journaler.Record
-	for len(taken) < maxSubmissions {
+	size := 0
+	for len(taken) < maxSubmissions && size < maxSubmissionsBytes {
 		s, found := h.submissions.Poll()
 		if !found {
 			break
@@ -112,6 +117,7 @@
 			continue
 		}
 		taken, records = append(taken, s), append(records, accepted...)
+		size += len(s.record.Value)
 	}
 	return taken, records
 }
--- a/internal/entry/submitter/submitter.go
+++ b/internal/entry/submitter/submitter.go
@@ -40,8 +40,9 @@
 	extraAppendInterval = 250 * time.Millisecond
 	// slotPollInterval is how often Run checks whether one more append may start.
 	slotPollInterval = 10 * time.Millisecond
-	// batchSize bounds the submissions in one append.
-	batchSize = 64
+	// batchSize and batchBytes bound the submissions in one append.
+	batchSize  = 64
+	batchBytes = 512 << 10
 	// fastStoreTimeout bounds an append to a fast store while no other append is in flight:
 	// without a reply by then, the reply counts as lost.
 	fastStoreTimeout = 800 * time.Millisecond
@@ -284,15 +285,16 @@
 	}
 }
 
-// collectBatch returns a submission together with those queued behind it, at most batchSize.
+// collectBatch returns a submission together with those queued behind it, at most batchSize and little
+// more than batchBytes.
 func (s *Submitter) collectBatch(first *submission) []*submission {
-	batch := []*submission{first}
-	for len(batch) < batchSize {
+	batch, size := []*submission{first}, len(first.record.Value)
+	for len(batch) < batchSize && size < batchBytes {
 		next, found := s.queue.Poll()
 		if !found {
 			break
 		}
-		batch = append(batch, next)
+		batch, size = append(batch, next), size+len(next.record.Value)
 	}
 	return batch
 }
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -40,6 +40,13 @@
 	cancelPrefix   = "x/"
 )
 
+// maxJobBytes is the size of the largest record of a job. The store refuses records of more than 256 KiB,
+// and with them the other records of the append.
+const maxJobBytes = 192 << 10
+
+// ErrTooLarge means that the record of a job is larger than the store may accept.
+var ErrTooLarge = errors.New("the job is too large")
+
 // Record is an entry of the log. A record without a value removes its key.
 type Record struct {
 	Key   string
@@ -187,8 +194,14 @@
 // NewHost returns the record of an entry host.
 func NewHost(h Host) (Record, error) { return record(hostPrefix+h.Name, h) }
 
-// NewJob returns the record of a submission.
-func NewJob(j *describer.Job) (Record, error) { return record(JobKey(j.ID), j) }
+// NewJob returns the record of a submission. The error wraps ErrTooLarge if the store may not accept it.
+func NewJob(j *describer.Job) (Record, error) {
+	r, err := record(JobKey(j.ID), j)
+	if len(r.Value) > maxJobBytes {
+		return Record{}, errors.Errorf("record of %d bytes, over %d: %w", len(r.Value), maxJobBytes, ErrTooLarge)
+	}
+	return r, err
+}
 
 // NewRoster returns the record of a roster.
 func NewRoster(r Roster) (Record, error) { return record(rosterKey, r) }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -122,7 +122,7 @@
 mutant "fence: no record is sent while appends fail" internal/entry/submitter/submitter.go \
   'if s.isStoreSuspicious() && ' 'if false && ' internal/entry/submitter 'TestKeep/records_are_refused_at_once_while_the_store_resets'
 mutant "fence: the holder persists a submission and its beginning in one append" internal/entry/accepter/accepter.go \
-  'if h == nil || !isJob {' 'if h == nil || isJob {' internal/entry/coordinator 'TestJobsStartAfterOneAppendToSlowStore'
+  'if h == nil || !isJob ||' 'if h == nil || isJob ||' internal/entry/coordinator 'TestJobsStartAfterOneAppendToSlowStore'
 mutant "fence: a repeated submission does not replace progress" internal/fleet/dispatcher/dispatcher.go \
   'case found && entry.Job != nil:' 'case false:' $dispatcher 'TestJobsAcceptedByHolder/a_repeated'
 mutant "fence: a submission that is read late does not replace progress" internal/fleet/dispatcher/dispatcher.go \
