Take over a busy cell at once, and from a holder whose connections are reset

And a holder whose connections to the store are reset kept the claim until it had appended nothing for 1.2 s.

Change: a takeover reads the jobs to the end that the topic has after the claim was read. Appends that fail at once count like refused ones.

Tests without a network, red before: TestTakeoverOfBusyCellByDistantHosts, TestHolderResetByStoreIsReplaced.

--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -64,9 +64,20 @@
 type refusableStore struct {
 	storer.Store
 	isRefusing atomic.Bool
+	// isResetting makes appends fail at once with an unknown outcome.
+	isResetting atomic.Bool
 	// pageDelay is how long it takes to list the newest jobs, beside the page with all other records
 	// of their topic.
 	pageDelay time.Duration
+	// distance is the round trip of reads between this host and the store.
+	distance time.Duration
+}
+
+func (s *refusableStore) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) ([]storer.Entry, error) {
+	time.Sleep(s.distance / 2)
+	entries, err := s.Store.Read(ctx, topic, from, wait)
+	time.Sleep(s.distance / 2)
+	return entries, err
 }
 
 func (s *refusableStore) Newest(ctx context.Context, topic storer.Topic, after string) (storer.Page, error) {
@@ -89,6 +100,9 @@
 	if s.isRefusing.Load() {
 		return 0, errors.Errorf("append: %w", storer.ErrRefused)
 	}
+	if s.isResetting.Load() {
+		return 0, errors.Errorf("append: %w", storer.ErrOutcomeUnknown)
+	}
 	return s.Store.Append(ctx, call)
 }
 
@@ -108,6 +122,8 @@
 	// their lists of jobs.
 	cores     float64
 	pageDelay time.Duration
+	// distance is the round trip between the store and the hosts that start next.
+	distance time.Duration
 }
 
 func newCell(t *testing.T, hosts int) *cell {
@@ -140,7 +156,7 @@
 func (c *cell) start(name, incarnation string) {
 	address, peers := c.network.add(name, incarnation)
 	c.addresses = append(c.addresses, address)
-	hostStore := &refusableStore{Store: c.store, pageDelay: c.pageDelay}
+	hostStore := &refusableStore{Store: c.store, pageDelay: c.pageDelay, distance: c.distance}
 	c.hostStores = append(c.hostStores, hostStore)
 	k := coordinator.New(coordinator.Options{
 		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, PeerAddress: address, Messenger: peers, Store: hostStore, Decoder: jsonDecoder{},
@@ -348,12 +364,23 @@
 // TestHolderRefusedByStoreIsReplaced guards against a holder that keeps the claim although the
 // store refuses its appends, but not those of other hosts.
 func TestHolderRefusedByStoreIsReplaced(t *testing.T) {
+	runHolderWithoutStore(t, 2200*time.Millisecond, func(s *refusableStore) { s.isRefusing.Store(true) })
+}
+
+// TestHolderResetByStoreIsReplaced answers the pattern of a store that resets the connections of the
+// holder alone. It guards against a takeover that waits as long as for a store that is silent.
+func TestHolderResetByStoreIsReplaced(t *testing.T) {
+	runHolderWithoutStore(t, 1500*time.Millisecond, func(s *refusableStore) { s.isResetting.Store(true) })
+}
+
+// runHolderWithoutStore requires that another host takes over in time from a holder that can't append.
+func runHolderWithoutStore(t *testing.T, within time.Duration, fail func(s *refusableStore)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCell(t, 3)
 		defer c.shutDown()
 		former := c.holder()
-		c.hostStores[former].isRefusing.Store(true)
-		time.Sleep(2200 * time.Millisecond)
+		fail(c.hostStores[former])
+		time.Sleep(within)
 		next := c.holder()
 		require.NotEqual(t, former, next, "the holder that the store refuses was not replaced")
 		require.GreaterOrEqual(t, next, 0)
@@ -646,3 +673,41 @@
 		c.requireCompleted("a")
 	})
 }
+
+// TestTakeoverOfBusyCellByDistantHosts answers the pattern of a busy cell whose holder fails, with
+// hosts in other regions than the store. It guards against a takeover that waits until no job arrives
+// during a whole read, which takes seconds at a hundred jobs a second.
+func TestTakeoverOfBusyCellByDistantHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 0)
+		defer c.shutDown()
+		c.distance = 65 * time.Millisecond
+		for i := range 4 {
+			c.start(fmt.Sprintf("h-%d", i), fmt.Sprintf("incarnation-%d", i))
+		}
+		time.Sleep(2 * time.Second)
+		crashed := c.holder()
+		require.GreaterOrEqual(t, crashed, 0)
+		stopped := make(chan struct{})
+		go func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				case <-time.After(10 * time.Millisecond):
+					go func() { _ = c.submit((crashed+1+i%3)%4, describer.JobID(fmt.Sprintf("job-%d", i)), 1) }()
+				}
+			}
+		}()
+		time.Sleep(300 * time.Millisecond)
+		epoch := c.hosts[crashed].Counts().Epoch
+		c.shutdowns[crashed]()
+		time.Sleep(2200 * time.Millisecond)
+		next := c.holder()
+		require.GreaterOrEqual(t, next, 0, "no host took over")
+		require.NotEqual(t, crashed, next)
+		require.Equal(t, epoch+1, c.hosts[next].Counts().Epoch, "the first claim must do")
+		close(stopped)
+		time.Sleep(12 * time.Second)
+	})
+}
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"lentilrock.example/internal/entry/elector"
+	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/prober"
 	"lentilrock.example/internal/entry/resigner"
 	"lentilrock.example/internal/entry/storer"
@@ -17,16 +16,12 @@
 const (
 	// electionInterval is how often a host checks whether to claim the cell.
 	electionInterval = 50 * time.Millisecond
-	// takeoverReadTimeout bounds a read of the jobs during a takeover.
-	takeoverReadTimeout = time.Second
 	// claimRetryPause is the pause after an attempt to claim the cell, so that a claim that the store
 	// refused is not retried at once.
 	claimRetryPause = 400 * time.Millisecond
 	// firstClaimDelay lets the hosts of a new cell read each other's announcements before one of
 	// them claims the cell.
 	firstClaimDelay = 300 * time.Millisecond
-	// readRetryPause is the pause after a failed read during a takeover.
-	readRetryPause = 50 * time.Millisecond
 )
 
 // runElections periodically checks whether this host must claim the cell, and claims it.
@@ -93,32 +88,24 @@
 	}
 }
 
-// takeOver reads the jobs topic to its end, which covers all jobs from before the claim, then starts
-// to hold the cell.
+// takeOver reads the jobs topic to the end that it has now, which covers all jobs from before the claim,
+// then starts to hold the cell.
 func (k *Coordinator) takeOver(claim journaler.Claim) {
-	for {
-		k.mu.Lock()
-		from, isMine := k.nextJobOffset, k.state.Claim.Epoch == claim.Epoch && !k.isLeaving
-		k.mu.Unlock()
-		if !isMine {
-			return
-		}
-		readCtx, cancel := context.WithTimeout(context.Background(), takeoverReadTimeout)
-		entries, err := k.options.Store.Read(readCtx, storer.Jobs, from, 0)
-		cancel()
-		switch {
-		case err != nil:
-			k.options.Logger.Warn("claim: Reading the jobs failed; the takeover retries.", zap.Int64("epoch", claim.Epoch), zap.String("error", err.Error()))
-			k.options.Clock.Sleep(readRetryPause)
-		case len(entries) > 0:
-			k.applyJobs(entries)
-		default:
+	isMine := func() bool { return k.state.Claim.Epoch == claim.Epoch && !k.isLeaving }
+	catchUp := follower.CatchUp{
+		Store: k.options.Store, Clock: k.options.Clock, Logger: k.options.Logger, Topic: storer.Jobs, Apply: k.applyJobs,
+		Next: func() (int64, bool) {
 			k.mu.Lock()
-			if k.state.Claim.Epoch == claim.Epoch && !k.isLeaving {
-				k.startHolding(k.now(), claim)
-			}
-			k.mu.Unlock()
-			return
-		}
+			defer k.mu.Unlock()
+			return k.nextJobOffset, isMine()
+		},
+	}
+	if !catchUp.Run() {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if isMine() {
+		k.startHolding(k.now(), claim)
 	}
 }
--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -56,9 +56,9 @@
 	// appendValidity is how long after a successful append the store counts as reachable. It
 	// allows for the pause before the next append and for that append at a slow store.
 	appendValidity = 1200 * time.Millisecond
-	// maxRefusalTime is how long the store may refuse the holder's appends before another host
-	// should claim the cell.
-	maxRefusalTime = 400 * time.Millisecond
+	// maxFailingTime is how long the store may refuse the holder's appends, or reset their connections,
+	// before another host should claim the cell.
+	maxFailingTime = 400 * time.Millisecond
 	// purgeInterval is how often the records of jobs that ended long ago are removed.
 	purgeInterval = 5 * time.Second
 	// machineListInterval is how often the machines are listed while a wave of upkeep, a rolling
@@ -128,10 +128,10 @@
 
 	mu sync.Mutex
 	// appendedAt is when the last append succeeded, or when the holder was created.
-	// refusedSince is when the store refused the first append after that; zero if none.
+	// failingSince is when the first append after that failed; zero if none did.
 	// appendingSince is when the append in flight was first sent; zero if there is none.
 	appendedAt     time.Time
-	refusedSince   time.Time
+	failingSince   time.Time
 	appendingSince time.Time
 }
 
@@ -153,8 +153,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.options.Clock.Now()
-	isRefused := !h.refusedSince.IsZero() && now.Sub(h.refusedSince) > maxRefusalTime
-	return !isRefused && now.Sub(h.appendedAt) < appendValidity
+	isFailing := !h.failingSince.IsZero() && now.Sub(h.failingSince) > maxFailingTime
+	return !isFailing && now.Sub(h.appendedAt) < appendValidity
 }
 
 // recordAppending records since when an append is in flight; the zero time means that none is.
@@ -171,9 +171,9 @@
 	now := h.options.Clock.Now()
 	switch {
 	case err == nil:
-		h.appendedAt, h.refusedSince = now, time.Time{}
-	case errors.Is(err, storer.ErrRefused) && h.refusedSince.IsZero():
-		h.refusedSince = now
+		h.appendedAt, h.failingSince = now, time.Time{}
+	case h.failingSince.IsZero():
+		h.failingSince = now
 	}
 }
 
--- a/internal/entry/holder/submission.go
+++ b/internal/entry/holder/submission.go
@@ -81,12 +81,12 @@
 // before it is sent.
 func (h *Holder) mayAppend(ctx context.Context) bool {
 	h.mu.Lock()
-	since, refusedSince := h.appendingSince, h.refusedSince
+	since, failingSince := h.appendingSince, h.failingSince
 	h.mu.Unlock()
 	now := h.options.Clock.Now()
 	switch {
 	case since.IsZero() || now.Sub(since) <= suspiciousAfter:
-		return refusedSince.IsZero() || now.Sub(refusedSince) <= maxRefusalTime
+		return failingSince.IsZero() || now.Sub(failingSince) <= maxFailingTime
 	case now.Sub(since) > unresponsiveAfter:
 		return false
 	}
--- a/internal/entry/storer/storer.go
+++ b/internal/entry/storer/storer.go
@@ -93,3 +93,12 @@
 	// Newest returns a page of the newest records of the keys after the given one.
 	Newest(ctx context.Context, topic Topic, after string) (Page, error)
 }
+
+// lastKey sorts after the keys of all records.
+const lastKey = "~"
+
+// End returns the offset after the last record of a topic.
+func End(ctx context.Context, s Store, topic Topic) (int64, error) {
+	page, err := s.Newest(ctx, topic, lastKey)
+	return page.End, errors.Wrapf(err, "find the end of the %s", topic)
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -133,5 +133,9 @@
   'if !a.options.IsHolderUnresponsive() {' 'if true {' internal/entry/resolver 'TestUnresponsiveHolderIsNotAsked'
 mutant "fence: a starting host forwards requests before it has read all jobs" internal/entry/coordinator/follow.go \
   'ApplyPage: k.applyRoutes, Apply: k.applyJobs' 'Apply: k.applyJobs' internal/entry/coordinator 'TestStartingHostAcceptsJobsBeforeItHasReadAll'
+mutant "fence: a holder whose appends fail is replaced soon" internal/entry/holder/holder.go \
+  'case h.failingSince.IsZero():' 'case false:' internal/entry/coordinator 'TestHolderResetByStoreIsReplaced'
+mutant "fence: a takeover does not wait for a moment without new jobs" internal/entry/follower/catchup.go \
+  '!isNeeded || hasEnd && from >= end' '!isNeeded || hasEnd && from >= end && len(c.Topic.String()) == 0' internal/entry/coordinator 'TestTakeoverOfBusyCellByDistantHosts'
 echo "mutants: $survived survived"
 [ "$survived" = 0 ]
