--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lentilrock.example/internal/entry/elector"
 	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/prober"
@@ -81,6 +83,7 @@
 	switch {
 	case isMine && claim.Epoch > k.takeoverEpoch && !k.isLeaving:
 		k.takeoverEpoch = claim.Epoch
+		k.options.Logger.Info("claim: The claim of this host is in force. It reads the jobs, then holds the cell.", zap.Int64("epoch", claim.Epoch))
 		k.stopHolding("A later claim of this host is in force.")
 		go k.takeOver(claim)
 	case !isMine && k.holder != nil && claim.Epoch >= k.holder.Epoch():
