Let hosts near the store claim first, and count no cancelled request as a failure

Change: hosts far from the store wait up to 0.8 s longer, small ones 0.9 s; a request whose caller has gone frees its host without a backoff.

Tests, red before: TestNearHostClaimsBeforeDistantOnes, TestCancelledRequestStartsNoBackoff.

--- a/internal/entry/distributor/backoff_test.go
+++ b/internal/entry/distributor/backoff_test.go
@@ -97,3 +97,29 @@
 		require.Less(t, clock.Since(healsAt), time.Second)
 	})
 }
+
+// TestCancelledRequestStartsNoBackoff answers the pattern of a host that loses the claim and wins it
+// again within seconds. It guards against requests that were cancelled with the first claim and count
+// as failures of the hosts that they went through.
+func TestCancelledRequestStartsNoBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Options{
+			Self: "self", Clock: clockwork.NewRealClock(), Advisor: silentAdvisor{},
+			Hosts: func() []journaler.Host { return []journaler.Host{{Name: "self"}} },
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := a.Advise(ctx, orderer.AdviceRequest{})
+		require.Error(t, err)
+		_, found := a.freeHost()
+		require.True(t, found)
+	})
+}
+
+// silentAdvisor never replies.
+type silentAdvisor struct{}
+
+func (silentAdvisor) Advise(ctx context.Context, _ orderer.AdviceRequest) (orderer.Advice, error) {
+	<-ctx.Done()
+	return orderer.Advice{}, ctx.Err()
+}
--- a/internal/entry/distributor/distributor.go
+++ b/internal/entry/distributor/distributor.go
@@ -102,7 +102,12 @@
 	callCtx, cancel := context.WithTimeout(ctx, serviceTime(request)+replySlack)
 	defer cancel()
 	advice, err := a.adviseThrough(callCtx, host, request)
-	a.release(host, err == nil)
+	if err != nil && ctx.Err() != nil {
+		// The caller has gone, which says nothing about the host.
+		a.free(host)
+	} else {
+		a.release(host, err == nil)
+	}
 	if err != nil {
 		return advice, errors.Errorf("request advice through host %s: %w", host.Name, err)
 	}
@@ -144,6 +149,14 @@
 	return journaler.Host{}, errors.Errorf("wait for a free host to request advice: %w", ctx.Err())
 }
 
+// free marks a host as free.
+func (a *Distributor) free(host journaler.Host) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.busy[host.Name] = false
+	a.assign()
+}
+
 // release marks a host as free. If its request failed, it starts or doubles its backoff.
 func (a *Distributor) release(host journaler.Host, ok bool) {
 	a.mu.Lock()
--- a/internal/entry/elector/elector.go
+++ b/internal/entry/elector/elector.go
@@ -38,13 +38,15 @@
 	// minUnansweredTime is how long probes must have failed before unresponsiveTimeout applies:
 	// the time of two probes.
 	minUnansweredTime = 300 * time.Millisecond
-	// storeDelayWeight multiplies the store delay, so that hosts near the store claim first.
-	storeDelayWeight = 4
-	// maxStoreDelayTerm bounds the claim delay of hosts far from the store.
-	maxStoreDelayTerm = 600 * time.Millisecond
+	// storeDelayWeight multiplies the store delay, so that hosts near the store claim first: the cell is
+	// slower with a holder in another region.
+	storeDelayWeight = 13
+	// maxStoreDelayTerm bounds the claim delay of hosts far from the store. It exceeds the pause between
+	// reads of the claims, by which hosts differ in when they read the last heartbeat.
+	maxStoreDelayTerm = 800 * time.Millisecond
 	// smallHostDelay is the extra claim delay of small hosts. By its end all hosts have read the
 	// claim of a larger host.
-	smallHostDelay = 700 * time.Millisecond
+	smallHostDelay = 900 * time.Millisecond
 	// jitterRange bounds the jitter that separates the claims of hosts in one data centre.
 	jitterRange = 60 * time.Millisecond
 	// maxReadAge is how old the last read of the log may be. It allows for a read that waits for
--- a/internal/entry/elector/elector_test.go
+++ b/internal/entry/elector/elector_test.go
@@ -76,3 +76,30 @@
 		})
 	}
 }
+
+// TestNearHostClaimsBeforeDistantOnes answers the pattern of a holder that is cut off, in a cell with
+// most of its hosts in other regions than the store. It guards against a holder in another region,
+// which is slower for the whole cell, because it happened to read the last heartbeat earlier.
+func TestNearHostClaimsBeforeDistantOnes(t *testing.T) {
+	const readPause = 600 * time.Millisecond
+	lastRead := time.Unix(1_000, 0)
+	claimAt := func(name string, storeDelay, readLater time.Duration) time.Duration {
+		for after := time.Duration(0); after < 10*time.Second; after += 10 * time.Millisecond {
+			now := lastRead.Add(after)
+			epoch, _ := elector.Decide(elector.View{
+				Self: name, Incarnation: "1", Claim: journaler.Claim{Epoch: 4, Host: "holder", Incarnation: "1"}, ReadAt: now,
+				HeartbeatAt: lastRead.Add(readLater), UnansweredSince: lastRead, StoreDelay: storeDelay,
+			}, now)
+			if epoch > 0 {
+				return after
+			}
+		}
+		return 0
+	}
+	for _, near := range []string{"a", "b", "c"} {
+		for _, distant := range []string{"d", "e", "f"} {
+			require.Less(t, claimAt(near, 10*time.Millisecond, readPause), claimAt(distant, 65*time.Millisecond, 0), "%s before %s", near, distant)
+		}
+	}
+	require.LessOrEqual(t, claimAt("d", 65*time.Millisecond, readPause), 2200*time.Millisecond, "a distant host must claim if no other does")
+}
