--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -169,6 +169,7 @@
 func (f *Follower) readNewest(ctx context.Context) (int64, error) {
 	var entries []storer.Entry
 	after, from := "", int64(-1)
+	startedAt, pages := f.Clock.Now(), 0
 	for {
 		readCtx, cancel := context.WithTimeout(ctx, ReadWait+readTimeoutMargin)
 		page, err := f.Store.Newest(readCtx, f.Topic, after)
@@ -183,7 +184,9 @@
 			f.ApplyPage(page.Entries)
 		}
 		entries = append(entries, page.Entries...)
+		pages++
 		if page.After == "" {
+			f.logList(pages, len(entries), from, page.End, f.Clock.Since(startedAt))
 			break
 		}
 		after = page.After
@@ -192,3 +195,13 @@
 	f.Reset(entries)
 	return from, nil
 }
+
+// logList logs how long the list took and how many records were appended meanwhile. Lists that are read
+// again and again are not logged.
+func (f *Follower) logList(pages, records int, from, end int64, took time.Duration) {
+	if f.RelistInterval > 0 {
+		return
+	}
+	f.Logger.Info("store: Listed the topic.", zap.Stringer("topic", f.Topic), zap.Int("pages", pages), zap.Int("records", records),
+		zap.Int64("from", from), zap.Int64("appended_meanwhile", end-from), zap.Duration("took", took))
+}
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	IsNotFound bool `cbor:"2,keyasint,omitempty"`
 	// IsUnknown reports that the peer can't tell the job's state, or whether the job exists.
 	IsUnknown bool `cbor:"3,keyasint,omitempty"`
+	// ViewAge is how long before a reply that the job does not exist the peer had read the log.
+	ViewAge time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Options configure a Forwarder.
--- a/internal/entry/resolver/resolver.go
+++ b/internal/entry/resolver/resolver.go
@@ -78,7 +78,7 @@
 	if view.IsKnown && view.State.IsFinal() {
 		return view.State, nil
 	}
-	reply := forwarder.StatusReply{IsUnknown: true}
+	reply, source := forwarder.StatusReply{IsUnknown: true}, "the log of this host"
 	if !a.options.IsHolderUnresponsive() {
 		reply = a.options.Peers.StatusFromHolder(ctx, id)
 	}
@@ -87,7 +87,7 @@
 	case a.isFresh(view):
 		reply = a.LocalStatus(ctx, id)
 	default:
-		reply = a.options.Peers.StatusFromPeers(ctx, id)
+		reply, source = a.options.Peers.StatusFromPeers(ctx, id), "the log of a peer"
 	}
 	switch {
 	case !reply.IsUnknown && !reply.IsNotFound:
@@ -96,7 +96,7 @@
 		// An older state is still a valid reply: recorded progress of a job is never undone.
 		return view.State, nil
 	case reply.IsNotFound:
-		return 0, ErrJobNotFound
+		return 0, errors.Errorf("%s, read %s before its reply, has no job %s: %w", source, reply.ViewAge.Round(time.Millisecond), id, ErrJobNotFound)
 	}
 	return 0, errors.Errorf("status of job %s: %w", id, storer.ErrOutcomeUnknown)
 }
@@ -117,7 +117,7 @@
 		case view.IsKnown:
 			return forwarder.StatusReply{State: view.State}
 		case a.isFresh(view) || view.ReadAt.After(startedAt):
-			return forwarder.StatusReply{IsNotFound: true}
+			return forwarder.StatusReply{IsNotFound: true, ViewAge: a.options.Clock.Now().Sub(view.ReadAt)}
 		}
 		select {
 		case <-ctx.Done():
