Return the end of the log with each read, and the extent of a list with its records

A read gave its records, but not whether more had been appended; a list gave its records, but not up to where it is complete, though the store replies with both. The callbacks of the follower now receive a Batch with the offset of the first record that may be missing and the end of the log. No decision depends on them yet. CatchUp takes the end from its first read instead of a request of its own.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -110,7 +110,7 @@
 	catalog *cataloger.Catalog
 	// reads has the times of the last reads from the store.
 	reads tracker.Tracker
-	// nextJobOffset is the offset of the first unread record of the jobs topic.
+	// nextJobOffset is the offset of the first record of the jobs topic that may not have been read.
 	nextJobOffset int64
 	// heartbeatAt is when a new record of the holder was last read, holderOffset the offset of
 	// that record.
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -73,11 +73,11 @@
 	distance time.Duration
 }
 
-func (s *refusableStore) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) ([]storer.Entry, error) {
+func (s *refusableStore) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) (storer.Batch, error) {
 	time.Sleep(s.distance / 2)
-	entries, err := s.Store.Read(ctx, topic, from, wait)
+	batch, err := s.Store.Read(ctx, topic, from, wait)
 	time.Sleep(s.distance / 2)
-	return entries, err
+	return batch, err
 }
 
 func (s *refusableStore) Newest(ctx context.Context, topic storer.Topic, after string) (storer.Page, error) {
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -84,12 +84,12 @@
 }
 
 // applyJobs applies records of the jobs topic and passes changed jobs to the dispatcher.
-func (k *Coordinator) applyJobs(entries []storer.Entry) {
+func (k *Coordinator) applyJobs(batch storer.Batch) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
 	k.reads.RecordJobs(now)
-	for _, e := range entries {
+	for _, e := range batch.Entries {
 		if name, found := journaler.HostOf(e.Record); found {
 			k.announcer.MarkSeen(name, now)
 		}
@@ -102,11 +102,11 @@
 }
 
 // applyClaims applies records of the holders to the state and acts on a new claim.
-func (k *Coordinator) applyClaims(entries []storer.Entry) {
+func (k *Coordinator) applyClaims(batch storer.Batch) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
-	for _, e := range entries {
+	for _, e := range batch.Entries {
 		k.applyRecord(now, e)
 	}
 	if k.state.HolderOffset > k.holderOffset || k.reads.ClaimsAt.IsZero() {
@@ -131,11 +131,11 @@
 	}
 }
 
-func (k *Coordinator) applyOperators(entries []storer.Entry) {
+func (k *Coordinator) applyOperators(batch storer.Batch) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.reads.RecordReply(k.now())
-	if isNew := k.catalog.ApplyOperators(entries); !isNew || k.holder == nil {
+	if isNew := k.catalog.ApplyOperators(batch.Entries); !isNew || k.holder == nil {
 		return
 	}
 	k.setOperatorEntries(k.now())
@@ -151,23 +151,23 @@
 	}
 }
 
-func (k *Coordinator) resetWorkers(entries []storer.Entry) {
+func (k *Coordinator) resetWorkers(list storer.Batch) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	// The reset and the update of the dispatcher share one critical section, so that a takeover
 	// never starts with an empty host list.
 	k.reads.RecordReply(k.now())
-	k.catalog.ResetWorkers(entries, k.now())
+	k.catalog.ResetWorkers(list.Entries, k.now())
 	k.setWorkers()
 }
 
-func (k *Coordinator) applyWorkers(entries []storer.Entry) {
+func (k *Coordinator) applyWorkers(batch storer.Batch) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.reads.RecordReply(k.now())
-	k.catalog.ApplyWorkers(entries, k.now())
+	k.catalog.ApplyWorkers(batch.Entries, k.now())
 	// If nothing changed, the dispatcher already has the list.
-	if len(entries) > 0 {
+	if len(batch.Entries) > 0 {
 		k.setWorkers()
 	}
 }
--- a/internal/entry/follower/catchup.go
+++ b/internal/entry/follower/catchup.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -24,39 +25,45 @@
 	Clock  clockwork.Clock
 	Logger *zap.Logger
 	Topic  storer.Topic
-	// Next returns the offset of the next record to read, and false once the records are not needed
-	// any more.
+	// Next returns the offset of the first record that was not read yet, and false once the records are
+	// not needed any more.
 	Next func() (offset int64, isNeeded bool)
 	// Apply receives the records and moves the offset that Next returns.
-	Apply func(entries []storer.Entry)
+	Apply func(batch storer.Batch)
 }
 
 // Run returns true once the records are read, and false if they are not needed any more. It retries reads
 // that fail.
 func (c CatchUp) Run() bool {
+	for {
+		isNeeded, err := c.read(context.Background())
+		if err == nil {
+			return isNeeded
+		}
+		c.Logger.Warn("claim: Reading the jobs failed; the takeover retries.", zap.Stringer("topic", c.Topic), zap.String("error", err.Error()))
+		c.Clock.Sleep(catchUpRetryPause)
+	}
+}
+
+// read returns false if the records are not needed any more.
+func (c CatchUp) read(ctx context.Context) (bool, error) {
 	end, hasEnd := int64(0), false
 	for {
 		from, isNeeded := c.Next()
 		if !isNeeded || hasEnd && from >= end {
-			return isNeeded
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
-		var entries []storer.Entry
-		var err error
-		if hasEnd {
-			entries, err = c.Store.Read(ctx, c.Topic, from, 0)
-		} else {
-			end, err = storer.End(ctx, c.Store, c.Topic)
+			return isNeeded, nil
 		}
+		readCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+		batch, err := c.Store.Read(readCtx, c.Topic, from, 0)
 		cancel()
 		switch {
 		case err != nil:
-			c.Logger.Warn("claim: Reading the jobs failed; the takeover retries.", zap.Stringer("topic", c.Topic), zap.String("error", err.Error()))
-			c.Clock.Sleep(catchUpRetryPause)
-		case hasEnd:
-			c.Apply(entries)
-		default:
-			hasEnd = true
+			return true, err
+		case hasEnd && len(batch.Entries) == 0:
+			return true, errors.Errorf("read %s from %d: no records before the end at %d", c.Topic, from, end)
+		case !hasEnd:
+			end, hasEnd = batch.End, true
 		}
+		c.Apply(batch)
 	}
 }
--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -44,12 +44,13 @@
 	Logger *zap.Logger
 	Topic  storer.Topic
 	// Reset receives the newest record of each key, by offset. It is called at the start, after
-	// each RelistInterval, and after the store dropped records that were not read yet.
-	Reset func(entries []storer.Entry)
+	// each RelistInterval, and after the store dropped records that were not read yet. Records that
+	// were appended since the first page was read may be missing.
+	Reset func(list storer.Batch)
 	// ApplyPage receives each page of the newest records as soon as it is read, before Reset gets all.
 	ApplyPage func(entries []storer.Entry)
 	// Apply receives new records in log order; it is also called with none after an empty read.
-	Apply func(entries []storer.Entry)
+	Apply func(batch storer.Batch)
 	// OnFailure is called after each failed read.
 	OnFailure func()
 	// Pause returns the pause between reads.
@@ -108,17 +109,19 @@
 // follow lists the newest records, then reads new ones until the store no longer has the next
 // record or the topic is due to be listed again. A failed read is retried at the same offset.
 func (f *Follower) follow(ctx context.Context) error {
-	from, err := f.readNewest(ctx)
+	list, err := f.readNewest(ctx)
 	if err != nil {
 		return errors.Errorf("list newest records: %w", err)
 	}
+	f.Reset(list)
 	f.recordSuccess()
+	from := list.Next
 	listedAt := f.Clock.Now()
 	for ctx.Err() == nil {
 		if f.RelistInterval > 0 && f.Clock.Since(listedAt) > f.RelistInterval {
 			return nil
 		}
-		entries, err := f.read(ctx, from)
+		batch, err := f.read(ctx, from)
 		switch {
 		case errors.Is(err, storer.ErrRecordsRemoved):
 			f.Logger.Info("store: Unread records were dropped from the log; listing the topic again.", zap.Stringer("topic", f.Topic), zap.Int64("from", from))
@@ -129,10 +132,8 @@
 			continue
 		}
 		f.recordSuccess()
-		if len(entries) > 0 {
-			from = entries[len(entries)-1].Offset + 1
-		}
-		f.Apply(entries)
+		from = batch.Next
+		f.Apply(batch)
 		if wait := f.Pause(); wait > 0 {
 			f.Wake.Pause(ctx, f.Clock, wait)
 		}
@@ -157,51 +158,47 @@
 	f.isFailing = false
 }
 
-func (f *Follower) read(ctx context.Context, from int64) ([]storer.Entry, error) {
+func (f *Follower) read(ctx context.Context, from int64) (storer.Batch, error) {
 	readCtx, cancel := context.WithTimeout(ctx, ReadWait+readTimeoutMargin)
 	defer cancel()
 	return f.Store.Read(readCtx, f.Topic, from, ReadWait)
 }
 
-// readNewest passes the newest record of each key to Reset and returns the offset to read from.
-// That is the end of the log at the time of the first page, since the pages together are not a
-// consistent snapshot.
-func (f *Follower) readNewest(ctx context.Context) (int64, error) {
-	var entries []storer.Entry
-	after, from := "", int64(-1)
-	startedAt, pages := f.Clock.Now(), 0
-	for {
+// readNewest returns the newest record of each key, by offset. The list is complete up to the end of the
+// log at the time of the first page, since the pages together are not a consistent snapshot.
+func (f *Follower) readNewest(ctx context.Context) (storer.Batch, error) {
+	var list storer.Batch
+	startedAt := f.Clock.Now()
+	for after, pages := "", 1; ; pages++ {
 		readCtx, cancel := context.WithTimeout(ctx, ReadWait+readTimeoutMargin)
 		page, err := f.Store.Newest(readCtx, f.Topic, after)
 		cancel()
 		if err != nil {
-			return 0, err
+			return storer.Batch{}, err
 		}
-		if from < 0 {
-			from = page.End
+		if after == "" {
+			list.Next = page.End
 		}
+		list.End = page.End
 		if f.ApplyPage != nil {
 			f.ApplyPage(page.Entries)
 		}
-		entries = append(entries, page.Entries...)
-		pages++
-		if page.After == "" {
-			f.logList(pages, len(entries), from, page.End, f.Clock.Since(startedAt))
+		list.Entries = append(list.Entries, page.Entries...)
+		if after = page.After; after == "" {
+			f.logList(list, pages, f.Clock.Since(startedAt))
 			break
 		}
-		after = page.After
 	}
-	slices.SortFunc(entries, func(a, b storer.Entry) int { return cmp.Compare(a.Offset, b.Offset) })
-	f.Reset(entries)
-	return from, nil
+	slices.SortFunc(list.Entries, func(a, b storer.Entry) int { return cmp.Compare(a.Offset, b.Offset) })
+	return list, nil
 }
 
 // logList logs how long the list took and how many records were appended meanwhile. Lists that are read
 // again and again are not logged.
-func (f *Follower) logList(pages, records int, from, end int64, took time.Duration) {
+func (f *Follower) logList(list storer.Batch, pages int, took time.Duration) {
 	if f.RelistInterval > 0 {
 		return
 	}
-	f.Logger.Info("store: Listed the topic.", zap.Stringer("topic", f.Topic), zap.Int("pages", pages), zap.Int("records", records),
-		zap.Int64("from", from), zap.Int64("appended_meanwhile", end-from), zap.Duration("took", took))
+	f.Logger.Info("store: Listed the topic.", zap.Stringer("topic", f.Topic), zap.Int("pages", pages), zap.Int("records", len(list.Entries)),
+		zap.Int64("from", list.Next), zap.Int64("appended_meanwhile", list.End-list.Next), zap.Duration("took", took))
 }
--- a/internal/entry/follower/follower_test.go
+++ b/internal/entry/follower/follower_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-func (s *silentStore) Read(ctx context.Context, _ storer.Topic, _ int64, wait time.Duration) ([]storer.Entry, error) {
-	return nil, s.reply(ctx, 5*time.Millisecond+wait)
+func (s *silentStore) Read(ctx context.Context, _ storer.Topic, _ int64, wait time.Duration) (storer.Batch, error) {
+	return storer.Batch{}, s.reply(ctx, 5*time.Millisecond+wait)
 }
 
 func (s *silentStore) Newest(ctx context.Context, _ storer.Topic, _ string) (storer.Page, error) {
@@ -59,7 +59,7 @@
 					s.until = time.Now().Add(7 * time.Second)
 				}
 				var appliedAt time.Time
-				apply := func([]storer.Entry) { appliedAt = time.Now() }
+				apply := func(storer.Batch) { appliedAt = time.Now() }
 				f := follower.Follower{
 					Store: s, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Topic: storer.Claims, Reset: apply, Apply: apply,
 					Pause: func() time.Duration { return 600 * time.Millisecond },
--- a/internal/entry/measurer/measurer.go
+++ b/internal/entry/measurer/measurer.go
@@ -60,10 +60,10 @@
 }
 
 // Read implements storer.Store.
-func (s *Store) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) ([]storer.Entry, error) {
-	entries, err := s.Store.Read(ctx, topic, from, wait)
+func (s *Store) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) (storer.Batch, error) {
+	batch, err := s.Store.Read(ctx, topic, from, wait)
 	s.scope.Tagged(map[string]string{"topic": topic.String(), "outcome": OutcomeOf(err)}).Counter("reads").Inc(1)
-	return entries, err
+	return batch, err
 }
 
 // OutcomeOf returns the value of the outcome label for the error of a call to the store.
--- a/internal/entry/measurer/measurer_test.go
+++ b/internal/entry/measurer/measurer_test.go
@@ -24,8 +24,8 @@
 
 func (s store) Append(context.Context, storer.Append) (int64, error) { return 4, s.err }
 
-func (s store) Read(context.Context, storer.Topic, int64, time.Duration) ([]storer.Entry, error) {
-	return nil, s.err
+func (s store) Read(context.Context, storer.Topic, int64, time.Duration) (storer.Batch, error) {
+	return storer.Batch{}, s.err
 }
 
 // workers is a fake that accepts starts and leaves the verdict of stops unknown.
--- a/internal/entry/storer/storer.go
+++ b/internal/entry/storer/storer.go
@@ -70,6 +70,19 @@
 	journaler.Record
 }
 
+// Batch has the records of a topic up to an offset: those of a range of the log, or the newest record of
+// each key.
+type Batch struct {
+	Entries []Entry
+	// Next is the offset of the first record that may be missing.
+	Next int64
+	// End is the offset after the last record of the log at the time of the store's last reply.
+	End int64
+}
+
+// IsAtEnd reports whether no record was missing when the store replied last.
+func (b Batch) IsAtEnd() bool { return b.Next >= b.End }
+
 // Page is one page of a list of the newest record of each key.
 type Page struct {
 	Entries []Entry
@@ -88,17 +101,9 @@
 // Store is the platform's store.
 type Store interface {
 	Appender
-	// Read returns the records from an offset on. It waits at most wait for the first one.
-	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) ([]Entry, error)
+	// Read returns records from an offset on, as many as the store returns at a time. It waits at most
+	// wait for the first one.
+	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Batch, error)
 	// Newest returns a page of the newest records of the keys after the given one.
 	Newest(ctx context.Context, topic Topic, after string) (Page, error)
 }
-
-// lastKey sorts after the keys of all records.
-const lastKey = "~"
-
-// End returns the offset after the last record of a topic.
-func End(ctx context.Context, s Store, topic Topic) (int64, error) {
-	page, err := s.Newest(ctx, topic, lastKey)
-	return page.End, errors.Wrapf(err, "find the end of the %s", topic)
-}
--- a/internal/standin/fencer/store.go
+++ b/internal/standin/fencer/store.go
@@ -202,21 +202,22 @@
 
 // Read returns the records of a topic from an offset on. If there are none, it waits up to wait
 // for the first.
-func (s *Store) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) ([]storer.Entry, error) {
+func (s *Store) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) (storer.Batch, error) {
 	deadline := s.clock.Now().Add(wait)
 	for {
 		if err := s.simulateLatency(ctx); err != nil {
-			return nil, err
+			return storer.Batch{}, err
 		}
 		s.mu.Lock()
 		isDown := s.isDown
-		entries := s.topics[topic][min(from, int64(len(s.topics[topic]))):]
+		end := int64(len(s.topics[topic]))
+		entries := s.topics[topic][min(from, end):]
 		s.mu.Unlock()
 		switch {
 		case isDown:
-			return nil, errors.Errorf("read: store is down: %w", storer.ErrRefused)
+			return storer.Batch{}, errors.Errorf("read: store is down: %w", storer.ErrRefused)
 		case len(entries) > 0 || !s.clock.Now().Before(deadline):
-			return entries, nil
+			return storer.Batch{Entries: entries, Next: from + int64(len(entries)), End: end}, nil
 		}
 	}
 }
