Report that a job does not exist only from a log that was read after the question

Cause: a host concluded from the age of its view that a job which is not in it does not exist. The age was counted from the moment at which a reply of the store had been processed. When its last page had arrived, the view counted as new for 1.9 s: a status request that came before the next read was processed got 410.

Every host that lists is open to it for the time of one read. Ruled out: a partial read, since no read followed the list yet; a reply of another host, since the view was this host's own.

Change: no age counts any more for a job that is not in the view. So a job that was accepted a moment ago by another host is known as well: until now a view of up to 1.9 s was enough to reply 410.

The age still counts for a job that is known, where it only decides whether peers are asked for a later state.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -37,6 +37,7 @@
 	"lentilrock.example/internal/entry/measurer"
 	"lentilrock.example/internal/entry/prober"
 	"lentilrock.example/internal/entry/recorder"
+	"lentilrock.example/internal/entry/refresher"
 	"lentilrock.example/internal/entry/repeater"
 	"lentilrock.example/internal/entry/resigner"
 	"lentilrock.example/internal/entry/resolver"
@@ -95,6 +96,7 @@
 	router       *router.Router
 	announcer    *announcer.Announcer
 	resolver     *resolver.Resolver
+	refresher    *refresher.Refresher
 	distributor  *distributor.Distributor
 	delegator    *delegator.Delegator
 	claimant     *claimant.Claimant
@@ -110,8 +112,8 @@
 	catalog *cataloger.Catalog
 	// reads has the times of the last reads from the store.
 	reads tracker.Tracker
-	// nextJobOffset is the offset of the first record of the jobs topic that may not have been read.
-	nextJobOffset int64
+	// nextOffsets has the offset of the first record that may not have been read, for the topics with jobs.
+	nextOffsets map[storer.Topic]int64
 	// heartbeatAt is when a new record of the holder was last read, holderOffset the offset of
 	// that record.
 	heartbeatAt  time.Time
@@ -142,7 +144,7 @@
 	options.Workers = measurer.NewWorkers(options.Workers, options.Scope, options.Clock)
 	k := &Coordinator{
 		options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), holderOffset: -1,
-		claimsWaker: pauser.NewWaker(),
+		claimsWaker: pauser.NewWaker(), nextOffsets: make(map[storer.Topic]int64),
 	}
 	k.repeater = repeater.New(repeater.Options{Store: options.Store, Check: k.readStore, Clock: options.Clock})
 	k.initPeers()
@@ -194,7 +196,10 @@
 		},
 		CachedStatus: func(id describer.JobID) forwarder.StatusReply { return k.resolver.CachedStatus(id) },
 	})
-	k.resolver = resolver.New(resolver.Options{View: k.jobView, Peers: k.forwarder, Clock: o.Clock, MaxViewAge: maxViewAge, IsHolderUnresponsive: k.isHolderUnresponsive})
+	k.refresher = refresher.New(refresher.Options{Read: k.readToEnd, Clock: o.Clock})
+	k.resolver = resolver.New(resolver.Options{
+		View: k.jobView, Refresh: k.refresh, Peers: k.forwarder, Clock: o.Clock, MaxViewAge: maxViewAge, IsHolderUnresponsive: k.isHolderUnresponsive,
+	})
 	k.router = router.New(router.Options{
 		Submitter: k.accepter, Forwarder: k.forwarder, View: k.prober.View, Clock: o.Clock, Scope: o.Scope,
 		IsStoreDown: k.isStoreDown, StoreReplies: k.storeReplies,
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/elector"
-	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/prober"
 	"lentilrock.example/internal/entry/resigner"
 	"lentilrock.example/internal/entry/storer"
@@ -95,15 +94,7 @@
 // then starts to hold the cell.
 func (k *Coordinator) takeOver(claim journaler.Claim) {
 	isMine := func() bool { return k.state.Claim.Epoch == claim.Epoch && !k.isLeaving }
-	catchUp := follower.CatchUp{
-		Store: k.options.Store, Clock: k.options.Clock, Logger: k.options.Logger, Topic: storer.Jobs, Apply: k.applyJobs,
-		Next: func() (int64, bool) {
-			k.mu.Lock()
-			defer k.mu.Unlock()
-			return k.nextJobOffset, isMine()
-		},
-	}
-	if !catchUp.Run() {
+	if !k.catchUp(storer.Jobs, k.applyJobs, isMine).Run() {
 		return
 	}
 	k.mu.Lock()
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -94,7 +94,7 @@
 			k.announcer.MarkSeen(name, now)
 		}
 		k.applyRecord(now, e)
-		k.nextJobOffset = max(k.nextJobOffset, e.Offset+1)
+		k.nextOffsets[storer.Jobs] = max(k.nextOffsets[storer.Jobs], e.Offset+1)
 	}
 	if k.holder != nil {
 		k.dispatcher.SetAdviceHosts(len(k.liveHosts()))
@@ -108,6 +108,7 @@
 	now := k.now()
 	for _, e := range batch.Entries {
 		k.applyRecord(now, e)
+		k.nextOffsets[storer.Claims] = max(k.nextOffsets[storer.Claims], e.Offset+1)
 	}
 	if k.state.HolderOffset > k.holderOffset || k.reads.ClaimsAt.IsZero() {
 		k.holderOffset, k.heartbeatAt = k.state.HolderOffset, now
--- a/internal/entry/coordinator/list_test.go
+++ b/internal/entry/coordinator/missing_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lentilrock.example/internal/entry/coordinator"
+	"lentilrock.example/internal/fleet/describer"
 )
 
 // TestJobAcceptedDuringListIsNotReportedAsMissing answers an incident on lfac-sched-grown. It guards
@@ -34,3 +36,25 @@
 		c.requireCompleted("a")
 	})
 }
+
+// TestAcceptedJobExistsForEveryHost guards against a host whose view is a moment old, and which replies that
+// a job does not exist that another host has just accepted.
+func TestAcceptedJobExistsForEveryHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		defer c.shutDown()
+		holder := c.holder()
+		c.network.disconnect(c.addresses[holder])
+		time.Sleep(2 * time.Second)
+		require.Equal(t, holder, c.holder(), "a holder that appends keeps the claim")
+		for i := range 6 {
+			id := describer.JobID(fmt.Sprintf("job-%d", i))
+			require.NoError(t, c.submit(holder, id, 1))
+			for host := range c.hosts {
+				_, err := c.status(host, id)
+				require.NoError(t, err, "host %d, job %d", host, i)
+			}
+			time.Sleep(time.Duration(130*i) * time.Millisecond)
+		}
+	})
+}
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,8 +14,8 @@
 	"lentilrock.example/internal/fleet/journaler"
 )
 
-// maxViewAge is how old the last read of the jobs may be for this host to report that a job does not
-// exist.
+// maxViewAge is how old the last read of the jobs may be for this host to report the state of a job that it
+// knows without asking its peers.
 const maxViewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
 
 // Submit persists a job; the job is accepted once Submit returns nil. Errors wrap
@@ -86,7 +87,7 @@
 // readStore reads from the store without waiting for records, to check that it replies.
 func (k *Coordinator) readStore(ctx context.Context) error {
 	k.mu.Lock()
-	from := k.nextJobOffset
+	from := k.nextOffsets[storer.Jobs]
 	k.mu.Unlock()
 	_, err := k.options.Store.Read(ctx, storer.Jobs, from, 0)
 	if errors.Is(err, storer.ErrRecordsRemoved) {
@@ -95,6 +96,42 @@
 	return errors.Wrap(err, "check the store")
 }
 
+// refresh returns nil once this host has read all records of jobs that the log had when it was called.
+// Errors wrap ErrNotReady or storer.ErrRefused, or are those of the store.
+func (k *Coordinator) refresh(ctx context.Context) error {
+	if !k.hasReadJobs() {
+		return errors.Wrap(ErrNotReady, "read the log to its end")
+	}
+	if k.isStoreDown() {
+		return errors.Errorf("read the log to its end: the store does not reply: %w", storer.ErrRefused)
+	}
+	return k.refresher.Refresh(ctx)
+}
+
+// readToEnd reads the topics with jobs to the ends that they have now.
+func (k *Coordinator) readToEnd(ctx context.Context) error {
+	isNeeded := func() bool { return true }
+	var claimsErr error
+	var claims sync.WaitGroup
+	claims.Go(func() { claimsErr = k.catchUp(storer.Claims, k.applyClaims, isNeeded).Read(ctx) })
+	jobsErr := k.catchUp(storer.Jobs, k.applyJobs, isNeeded).Read(ctx)
+	claims.Wait()
+	return errors.CombineErrors(jobsErr, claimsErr)
+}
+
+// catchUp returns a read of a topic to its end, for as long as isNeeded returns true, which is called
+// with the lock.
+func (k *Coordinator) catchUp(topic storer.Topic, apply func(storer.Batch), isNeeded func() bool) follower.CatchUp {
+	return follower.CatchUp{
+		Store: k.options.Store, Clock: k.options.Clock, Logger: k.options.Logger, Topic: topic, Apply: apply,
+		Next: func() (int64, bool) {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			return k.nextOffsets[topic], isNeeded()
+		},
+	}
+}
+
 // Pending returns the number of accepted jobs of a queue of which no task has started. The error is
 // ErrNotReady before all jobs are read.
 func (k *Coordinator) Pending(queue string) (int, error) {
--- a/internal/entry/follower/catchup.go
+++ b/internal/entry/follower/catchup.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// Read reads the records once, without retries.
+func (c CatchUp) Read(ctx context.Context) error {
+	_, err := c.read(ctx)
+	return err
+}
+
 // read returns false if the records are not needed any more.
 func (c CatchUp) read(ctx context.Context) (bool, error) {
 	end, hasEnd := int64(0), false
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -66,8 +66,6 @@
 	IsNotFound bool `cbor:"2,keyasint,omitempty"`
 	// IsUnknown reports that the peer can't tell the job's state, or whether the job exists.
 	IsUnknown bool `cbor:"3,keyasint,omitempty"`
-	// ViewAge is how long before a reply that the job does not exist the peer had read the log.
-	ViewAge time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Options configure a Forwarder.
@@ -85,7 +83,7 @@
 	Persist func(ctx context.Context, record journaler.Record) error
 	// CanPersist reports whether this host reaches the store; nil means that it does.
 	CanPersist func(ctx context.Context) bool
-	// LocalStatus returns the state of a job as this host knows it. It may wait for a recent view.
+	// LocalStatus returns the state of a job as this host knows it. It may read the log first.
 	LocalStatus func(ctx context.Context, id describer.JobID) StatusReply
 	// CachedStatus returns the state of a job as this host knows it, without waiting.
 	CachedStatus func(id describer.JobID) StatusReply
--- a/internal/entry/resolver/resolver.go
+++ b/internal/entry/resolver/resolver.go
@@ -1,9 +1,12 @@
 // Package resolver resolves the status of jobs from this host's view of the log, from the
 // holder (the host whose claim makes it the leader) and from other peers.
 //
+// That a job does not exist is only told from a view that was read to the end of the log after the
+// question arrived. No age of a view is young enough: a job may have been accepted a moment ago.
+//
 // # Usage
 //
-//	a := resolver.New(resolver.Options{View: view, Peers: forwarder, Clock: clock, MaxViewAge: 2 * time.Second})
+//	a := resolver.New(resolver.Options{View: view, Refresh: refresh, Peers: forwarder, Clock: clock, MaxViewAge: 2 * time.Second})
 //	state, err := a.Status(ctx, id)
 package resolver
 
@@ -19,9 +22,6 @@
 	"lentilrock.example/internal/fleet/describer"
 )
 
-// viewPollInterval is how often LocalStatus looks for a missing job again until the view is fresh.
-const viewPollInterval = 25 * time.Millisecond
-
 // ErrJobNotFound means that the job does not exist.
 var ErrJobNotFound = errors.New("there is no such job")
 
@@ -44,13 +44,15 @@
 // Options configure a Resolver.
 type Options struct {
 	// View returns this host's view of a job.
-	View  func(id describer.JobID) View
-	Peers Peers
-	Clock clockwork.Clock
+	View func(id describer.JobID) View
+	// Refresh returns nil once the view has all records that the log had when it was called.
+	Refresh func(ctx context.Context) error
+	Peers   Peers
+	Clock   clockwork.Clock
 	// IsHolderUnresponsive reports that the holder does not reply, so that a request to it would only
 	// delay the caller; nil means that it replies.
 	IsHolderUnresponsive func() bool
-	// MaxViewAge is the age from which the view is too old to tell that a job does not exist.
+	// MaxViewAge is the age from which peers are asked for a later state of a job that this host knows.
 	MaxViewAge time.Duration
 }
 
@@ -82,11 +84,10 @@
 	if !a.options.IsHolderUnresponsive() {
 		reply = a.options.Peers.StatusFromHolder(ctx, id)
 	}
-	switch {
-	case !reply.IsUnknown:
-	case a.isFresh(view):
+	if reply.IsUnknown && (!view.IsKnown || a.isFresh(view)) {
 		reply = a.LocalStatus(ctx, id)
-	default:
+	}
+	if reply.IsUnknown {
 		reply, source = a.options.Peers.StatusFromPeers(ctx, id), "the log of a peer"
 	}
 	switch {
@@ -96,7 +97,7 @@
 		// An older state is still a valid reply: recorded progress of a job is never undone.
 		return view.State, nil
 	case reply.IsNotFound:
-		return 0, errors.Errorf("%s, read %s before its reply, has no job %s: %w", source, reply.ViewAge.Round(time.Millisecond), id, ErrJobNotFound)
+		return 0, errors.Errorf("%s has no job %s: %w", source, id, ErrJobNotFound)
 	}
 	return 0, errors.Errorf("status of job %s: %w", id, storer.ErrOutcomeUnknown)
 }
@@ -107,22 +108,18 @@
 	return forwarder.StatusReply{State: view.State, IsUnknown: !view.IsKnown}
 }
 
-// LocalStatus returns a job's status from this host's view. It waits for a fresh view before it
-// reports that a job does not exist; if ctx ends first, the status is unknown.
+// LocalStatus returns a job's status from this host's view. It reads the log to its end before it reports
+// that a job does not exist; if that fails, the status is unknown.
 func (a *Resolver) LocalStatus(ctx context.Context, id describer.JobID) forwarder.StatusReply {
-	startedAt := a.options.Clock.Now()
-	for {
-		view := a.options.View(id)
-		switch {
-		case view.IsKnown:
-			return forwarder.StatusReply{State: view.State}
-		case a.isFresh(view) || view.ReadAt.After(startedAt):
-			return forwarder.StatusReply{IsNotFound: true, ViewAge: a.options.Clock.Now().Sub(view.ReadAt)}
-		}
-		select {
-		case <-ctx.Done():
-			return forwarder.StatusReply{IsUnknown: true}
-		case <-a.options.Clock.After(viewPollInterval):
-		}
+	if reply := a.CachedStatus(id); !reply.IsUnknown {
+		return reply
+	}
+	if err := a.options.Refresh(ctx); err != nil {
+		return forwarder.StatusReply{IsUnknown: true}
+	}
+	reply := a.CachedStatus(id)
+	if reply.IsUnknown {
+		return forwarder.StatusReply{IsNotFound: true}
 	}
+	return reply
 }
--- a/internal/entry/resolver/resolver_test.go
+++ b/internal/entry/resolver/resolver_test.go
@@ -33,26 +33,34 @@
 	fresh, old := now.Add(-time.Second), now.Add(-time.Minute)
 	unknown, notFound := forwarder.StatusReply{IsUnknown: true}, forwarder.StatusReply{IsNotFound: true}
 	completed := forwarder.StatusReply{State: describer.JobCompleted}
+	// What a refresh of this host's view does.
+	failing := func(*resolver.View) error { return errors.New("test") }
+	empty := func(*resolver.View) error { return nil }
+	finding := func(v *resolver.View) error { v.IsKnown, v.State = true, describer.JobRunning; return nil }
 	for _, test := range []struct {
-		name  string
-		view  resolver.View
-		peers peers
-		state describer.JobState
-		err   error
+		name    string
+		view    resolver.View
+		refresh func(*resolver.View) error
+		peers   peers
+		state   describer.JobState
+		err     error
 	}{
-		{"a final state in an old view is returned", resolver.View{IsKnown: true, State: describer.JobFailed, ReadAt: old}, peers{completed, completed}, describer.JobFailed, nil},
-		{"the state at the holder replaces one that is not final", resolver.View{IsKnown: true, State: describer.JobRunning, ReadAt: fresh}, peers{completed, unknown}, describer.JobCompleted, nil},
-		{"a fresh view is used if the holder does not answer", resolver.View{IsKnown: true, State: describer.JobRunning, ReadAt: fresh}, peers{unknown, completed}, describer.JobRunning, nil},
-		{"a job missing from a fresh view does not exist", resolver.View{ReadAt: fresh}, peers{unknown, completed}, 0, resolver.ErrJobNotFound},
-		{"other peers are queried if the view is old", resolver.View{ReadAt: old}, peers{unknown, completed}, describer.JobCompleted, nil},
-		{"a job does not exist if a peer says so", resolver.View{ReadAt: old}, peers{unknown, notFound}, 0, resolver.ErrJobNotFound},
-		{"an older state is returned if a peer does not know the job", resolver.View{IsKnown: true, State: describer.JobRunning, ReadAt: old}, peers{unknown, notFound}, describer.JobRunning, nil},
-		{"the state is unknown if no host knows it", resolver.View{ReadAt: old}, peers{unknown, unknown}, 0, storer.ErrOutcomeUnknown},
+		{"a final state in an old view is returned", resolver.View{IsKnown: true, State: describer.JobFailed, ReadAt: old}, failing, peers{completed, completed}, describer.JobFailed, nil},
+		{"the state at the holder replaces one that is not final", resolver.View{IsKnown: true, State: describer.JobRunning, ReadAt: fresh}, failing, peers{completed, unknown}, describer.JobCompleted, nil},
+		{"a fresh view is used if the holder does not answer", resolver.View{IsKnown: true, State: describer.JobRunning, ReadAt: fresh}, failing, peers{unknown, completed}, describer.JobRunning, nil},
+		{"a job missing from the log read after the question does not exist", resolver.View{ReadAt: old}, empty, peers{unknown, completed}, 0, resolver.ErrJobNotFound},
+		{"a job missing from a view of a second ago may exist", resolver.View{ReadAt: fresh}, finding, peers{unknown, notFound}, describer.JobRunning, nil},
+		{"other peers are queried if the log can't be read", resolver.View{ReadAt: fresh}, failing, peers{unknown, completed}, describer.JobCompleted, nil},
+		{"other peers are queried if the view of a known job is old", resolver.View{IsKnown: true, State: describer.JobRunning, ReadAt: old}, failing, peers{unknown, completed}, describer.JobCompleted, nil},
+		{"a job does not exist if a peer says so", resolver.View{ReadAt: fresh}, failing, peers{unknown, notFound}, 0, resolver.ErrJobNotFound},
+		{"an older state is returned if a peer does not know the job", resolver.View{IsKnown: true, State: describer.JobRunning, ReadAt: old}, failing, peers{unknown, notFound}, describer.JobRunning, nil},
+		{"the state is unknown if no host knows it", resolver.View{ReadAt: fresh}, failing, peers{unknown, unknown}, 0, storer.ErrOutcomeUnknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			a := resolver.New(resolver.Options{
 				View: func(describer.JobID) resolver.View { return test.view }, Peers: test.peers,
-				Clock: clockwork.NewFakeClockAt(now), MaxViewAge: 2 * time.Second,
+				Refresh: func(context.Context) error { return test.refresh(&test.view) },
+				Clock:   clockwork.NewFakeClockAt(now), MaxViewAge: 2 * time.Second,
 			})
 			state, err := a.Status(t.Context(), "a")
 			if test.err != nil {
