Read on where a list is complete, not after its newest record

What callers could see: 410 for an accepted job, and a holder that takes over without a job that another host had persisted, until the follower has read it.

Cause: the offset from which a host reads on was moved behind the newest record of a list. The list is read in pages: a page has the records of its own moment, so the list may have a record and miss an earlier one whose key the pages have passed. It is complete only up to the end that the log had at the first page.

Evidence: TestJobBetweenPagesOfListIsNotMissed, red before: "the log of this host has no job a". The stand-in store listed all records in one page; it has pages now, by key, each with the records of its own moment.

Change: the offset comes from the extent of the list and moves to package tracker. Followers, refreshes and takeovers read the same topics: a record that one of them has read is not applied again for another, so that a job that was removed does not come back for a moment.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -110,10 +110,8 @@
 	state *journaler.State
 	// catalog has the configuration, the waves of upkeep and the host list as read from the store.
 	catalog *cataloger.Catalog
-	// reads has the times of the last reads from the store.
+	// reads has what was read from the store, and when.
 	reads tracker.Tracker
-	// nextOffsets has the offset of the first record that may not have been read, for the topics with jobs.
-	nextOffsets map[storer.Topic]int64
 	// heartbeatAt is when a new record of the holder was last read, holderOffset the offset of
 	// that record.
 	heartbeatAt  time.Time
@@ -144,7 +142,7 @@
 	options.Workers = measurer.NewWorkers(options.Workers, options.Scope, options.Clock)
 	k := &Coordinator{
 		options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), holderOffset: -1,
-		claimsWaker: pauser.NewWaker(), nextOffsets: make(map[storer.Topic]int64),
+		claimsWaker: pauser.NewWaker(),
 	}
 	k.repeater = repeater.New(repeater.Options{Store: options.Store, Check: k.readStore, Clock: options.Clock})
 	k.initPeers()
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -69,6 +69,8 @@
 	// pageDelay is how long it takes to list the newest jobs and their progress, after a page with the
 	// other records of the topic.
 	pageDelay time.Duration
+	// listDelay precedes each page of the jobs but the first, and each reply with jobs to another read.
+	listDelay time.Duration
 	// distance is the round trip of reads between this host and the store.
 	distance time.Duration
 }
@@ -76,11 +78,17 @@
 func (s *refusableStore) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) (storer.Batch, error) {
 	time.Sleep(s.distance / 2)
 	batch, err := s.Store.Read(ctx, topic, from, wait)
+	if topic == storer.Jobs && len(batch.Entries) > 0 {
+		time.Sleep(s.listDelay)
+	}
 	time.Sleep(s.distance / 2)
 	return batch, err
 }
 
 func (s *refusableStore) Newest(ctx context.Context, topic storer.Topic, after string) (storer.Page, error) {
+	if s.listDelay > 0 && after != "" && topic == storer.Jobs {
+		time.Sleep(s.listDelay)
+	}
 	page, err := s.Store.Newest(ctx, topic, after)
 	if err != nil || topic != storer.Jobs && topic != storer.Claims || s.pageDelay == 0 {
 		return page, err
@@ -118,10 +126,11 @@
 	addresses []netip.AddrPort
 	// hostStores are the stores as the hosts access them, by index of the host.
 	hostStores []*refusableStore
-	// cores is the processor share of the hosts that start next, pageDelay the delay of
+	// cores is the processor share of the hosts that start next, pageDelay and listDelay the delays of
 	// their lists of jobs.
 	cores     float64
 	pageDelay time.Duration
+	listDelay time.Duration
 	// distance is the round trip between the store and the hosts that start next.
 	distance time.Duration
 }
@@ -156,7 +165,7 @@
 func (c *cell) start(name, incarnation string) {
 	address, peers := c.network.add(name, incarnation)
 	c.addresses = append(c.addresses, address)
-	hostStore := &refusableStore{Store: c.store, pageDelay: c.pageDelay, distance: c.distance}
+	hostStore := &refusableStore{Store: c.store, pageDelay: c.pageDelay, listDelay: c.listDelay, distance: c.distance}
 	c.hostStores = append(c.hostStores, hostStore)
 	k := coordinator.New(coordinator.Options{
 		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, PeerAddress: address, Messenger: peers, Store: hostStore, Decoder: jsonDecoder{},
@@ -198,6 +207,17 @@
 	}})
 }
 
+// appendJobs appends jobs to the log without a holder, as hosts do whose probes of the holder fail.
+func (c *cell) appendJobs(ids ...describer.JobID) {
+	for _, id := range ids {
+		queue, _, err := c.hosts[0].Route("a.example", "/orders/"+string(id))
+		require.NoError(c.t, err)
+		record, err := journaler.NewJob(&describer.Job{ID: id, Queue: queue, Steps: []describer.Step{{Count: 1, Need: describer.Resources{MilliCPU: 1000}}}})
+		require.NoError(c.t, err)
+		c.store.Put(storer.Jobs, storer.Entry{Record: record})
+	}
+}
+
 func (c *cell) status(host int, id describer.JobID) (describer.JobState, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -88,13 +88,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
-	k.reads.RecordJobs(now)
-	for _, e := range batch.Entries {
+	for _, e := range k.reads.RecordJobs(now, batch) {
 		if name, found := journaler.HostOf(e.Record); found {
 			k.announcer.MarkSeen(name, now)
 		}
 		k.applyRecord(now, e)
-		k.nextOffsets[storer.Jobs] = max(k.nextOffsets[storer.Jobs], e.Offset+1)
 	}
 	if k.holder != nil {
 		k.dispatcher.SetAdviceHosts(len(k.liveHosts()))
@@ -106,14 +104,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
-	for _, e := range batch.Entries {
+	isFirst := k.reads.ClaimsAt.IsZero()
+	for _, e := range k.reads.RecordClaims(now, batch) {
 		k.applyRecord(now, e)
-		k.nextOffsets[storer.Claims] = max(k.nextOffsets[storer.Claims], e.Offset+1)
 	}
-	if k.state.HolderOffset > k.holderOffset || k.reads.ClaimsAt.IsZero() {
+	if k.state.HolderOffset > k.holderOffset || isFirst {
 		k.holderOffset, k.heartbeatAt = k.state.HolderOffset, now
 	}
-	k.reads.RecordClaims(now)
 	k.applyClaim()
 }
 
--- a/internal/entry/coordinator/missing_test.go
+++ b/internal/entry/coordinator/missing_test.go
@@ -58,3 +58,26 @@
 		}
 	})
 }
+
+// TestJobBetweenPagesOfListIsNotMissed guards against a host that reads on after the newest record of its
+// list, and misses the jobs that were appended before it behind the page under way.
+func TestJobBetweenPagesOfListIsNotMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1)
+		defer c.shutDown()
+		c.appendJobs("b", "c", "d", "e")
+		c.store.SetPageSize(2)
+		c.listDelay, c.distance = time.Second, 65*time.Millisecond
+		c.start("h-1", "incarnation-1")
+		const started = 1
+		// The list has passed "a" by now, and will reach "z".
+		time.Sleep(1500 * time.Millisecond)
+		c.appendJobs("a", "z")
+		c.network.disconnect(c.addresses[0])
+		for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+			_, err := c.status(started, "a")
+			require.False(t, errors.Is(err, coordinator.ErrJobNotFound), "%v", err)
+		}
+		c.requireCompleted("a")
+	})
+}
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -87,7 +86,7 @@
 // readStore reads from the store without waiting for records, to check that it replies.
 func (k *Coordinator) readStore(ctx context.Context) error {
 	k.mu.Lock()
-	from := k.nextOffsets[storer.Jobs]
+	from := k.reads.Next(storer.Jobs)
 	k.mu.Unlock()
 	_, err := k.options.Store.Read(ctx, storer.Jobs, from, 0)
 	if errors.Is(err, storer.ErrRecordsRemoved) {
@@ -111,12 +110,7 @@
 // readToEnd reads the topics with jobs to the ends that they have now.
 func (k *Coordinator) readToEnd(ctx context.Context) error {
 	isNeeded := func() bool { return true }
-	var claimsErr error
-	var claims sync.WaitGroup
-	claims.Go(func() { claimsErr = k.catchUp(storer.Claims, k.applyClaims, isNeeded).Read(ctx) })
-	jobsErr := k.catchUp(storer.Jobs, k.applyJobs, isNeeded).Read(ctx)
-	claims.Wait()
-	return errors.CombineErrors(jobsErr, claimsErr)
+	return follower.ReadAll(ctx, k.catchUp(storer.Jobs, k.applyJobs, isNeeded), k.catchUp(storer.Claims, k.applyClaims, isNeeded))
 }
 
 // catchUp returns a read of a topic to its end, for as long as isNeeded returns true, which is called
@@ -127,7 +121,7 @@
 		Next: func() (int64, bool) {
 			k.mu.Lock()
 			defer k.mu.Unlock()
-			return k.nextOffsets[topic], isNeeded()
+			return k.reads.Next(topic), isNeeded()
 		},
 	}
 }
--- a/internal/entry/follower/catchup.go
+++ b/internal/entry/follower/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,10 +46,15 @@
 	}
 }
 
-// Read reads the records once, without retries.
-func (c CatchUp) Read(ctx context.Context) error {
-	_, err := c.read(ctx)
-	return err
+// ReadAll reads several topics at once, without retries.
+func ReadAll(ctx context.Context, topics ...CatchUp) error {
+	errs := make([]error, len(topics))
+	var reads sync.WaitGroup
+	for i, c := range topics {
+		reads.Go(func() { _, errs[i] = c.read(ctx) })
+	}
+	reads.Wait()
+	return errors.Join(errs...)
 }
 
 // read returns false if the records are not needed any more.
--- a/internal/entry/tracker/tracker.go
+++ b/internal/entry/tracker/tracker.go
@@ -1,19 +1,23 @@
-// Package tracker tracks when an entry host last read from the store, which tells whether the host
-// reaches the store and how recent its view of the jobs is.
+// Package tracker tracks what an entry host has read from the store and when, which tells whether the host
+// reaches the store and which records of the jobs it may not have read yet.
 //
 // # Usage
 //
 //	var t tracker.Tracker
-//	t.RecordJobs(now)
+//	for _, e := range t.RecordJobs(now, batch) {
+//		// apply a record that was not read before
+//	}
 //	if t.IsStoreDown(now) {
 //		// refuse what would have to be persisted
 //	}
 package tracker
 
 import (
+	"slices"
 	"time"
 
 	"lentilrock.example/internal/entry/follower"
+	"lentilrock.example/internal/entry/storer"
 )
 
 const (
@@ -33,13 +37,42 @@
 	ClaimsFailedAt time.Time
 	// storeAt is when the store last replied to a read of any topic.
 	storeAt time.Time
+	// nextJob and nextClaim are the offsets of the first records that may not have been read.
+	nextJob   int64
+	nextClaim int64
 }
 
-// RecordJobs records that the jobs were read to their end.
-func (t *Tracker) RecordJobs(now time.Time) { t.JobsAt, t.storeAt = now, now }
+// RecordJobs records that jobs were read and returns the records that were not read before.
+func (t *Tracker) RecordJobs(now time.Time, batch storer.Batch) []storer.Entry {
+	t.JobsAt, t.storeAt = now, now
+	return advance(&t.nextJob, batch)
+}
 
-// RecordClaims records that the claims were read to their end.
-func (t *Tracker) RecordClaims(now time.Time) { t.ClaimsAt, t.storeAt = now, now }
+// RecordClaims records that claims were read and returns the records that were not read before.
+func (t *Tracker) RecordClaims(now time.Time, batch storer.Batch) []storer.Entry {
+	t.ClaimsAt, t.storeAt = now, now
+	return advance(&t.nextClaim, batch)
+}
+
+// advance moves next to that of a batch and returns the records of the batch from the former next on. A list
+// has newer records, too, but not all of them.
+func advance(next *int64, batch storer.Batch) []storer.Entry {
+	former := *next
+	*next = max(former, batch.Next)
+	i := slices.IndexFunc(batch.Entries, func(e storer.Entry) bool { return e.Offset >= former })
+	if i < 0 {
+		return nil
+	}
+	return batch.Entries[i:]
+}
+
+// Next returns the offset of the first record of the jobs or the claims that may not have been read.
+func (t *Tracker) Next(topic storer.Topic) int64 {
+	if topic == storer.Jobs {
+		return t.nextJob
+	}
+	return t.nextClaim
+}
 
 // RecordReply records that the store replied to a read.
 func (t *Tracker) RecordReply(now time.Time) { t.storeAt = now }
--- a/internal/standin/fencer/store.go
+++ b/internal/standin/fencer/store.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/entry/storer"
 )
 
@@ -42,6 +43,8 @@
 	// topic ends.
 	appendDuration time.Duration
 	freeAt         map[storer.Topic]time.Time
+	// pageSize limits the records in a page of the newest ones; 0 means no limit.
+	pageSize int
 }
 
 // NewStore returns an empty store.
@@ -222,9 +225,16 @@
 	}
 }
 
-// Newest returns the newest record of each key, without keys whose newest value is empty, in
-// a single page.
-func (s *Store) Newest(ctx context.Context, topic storer.Topic, _ string) (storer.Page, error) {
+// SetPageSize limits the records in a page of the newest ones; 0 means that a page has all.
+func (s *Store) SetPageSize(size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize = size
+}
+
+// Newest returns the newest record of each key after the given one, without keys whose newest value is
+// empty, by key. Pages are not a consistent snapshot: each has the records of its own moment.
+func (s *Store) Newest(ctx context.Context, topic storer.Topic, after string) (storer.Page, error) {
 	if err := s.simulateLatency(ctx); err != nil {
 		return storer.Page{}, err
 	}
@@ -238,10 +248,15 @@
 		newest[e.Key] = e
 	}
 	page := storer.Page{End: int64(len(s.topics[topic]))}
-	for _, e := range newest {
-		if len(e.Value) > 0 {
-			page.Entries = append(page.Entries, e)
+	for _, key := range sorter.Keys(newest) {
+		if key <= after || len(newest[key].Value) == 0 {
+			continue
+		}
+		if s.pageSize > 0 && len(page.Entries) == s.pageSize {
+			page.After = page.Entries[s.pageSize-1].Key
+			break
 		}
+		page.Entries = append(page.Entries, newest[key])
 	}
 	return page, nil
 }
