Count the log as read only once a read has reached its end

What callers could see: a host that has just started reports far too few pending jobs, claims the cell, or is ready, with a view that lacks what was appended while it listed the topics, or what did not fit into one reply of the store (1 MB).

Cause: each reply counted as a read of the whole topic.

Evidence: TestPendingIsUnknownUntilLogIsReadToItsEnd, red before: 1 pending job instead of 4.

Change: the store replies with the end of the log; the times of the jobs and claims move only when a read has reached it. A host is ready, reports pending jobs and claims the cell once that has happened for both topics: one read later than before where records were appended during the list, at once where none were. TestPartOfLogIsNoView guards the rule itself.

--- a/internal/entry/coordinator/missing_test.go
+++ b/internal/entry/coordinator/missing_test.go
@@ -81,3 +81,31 @@
 		c.requireCompleted("a")
 	})
 }
+
+// TestPendingIsUnknownUntilLogIsReadToItsEnd guards against a host that has listed the jobs, but has not
+// read those that were appended meanwhile, and reports that few jobs are pending.
+func TestPendingIsUnknownUntilLogIsReadToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 1)
+		defer c.shutDown()
+		c.appendJobs("b", "c", "d", "e")
+		c.store.SetPageSize(2)
+		c.listDelay, c.distance = time.Second, 65*time.Millisecond
+		c.start("h-1", "incarnation-1")
+		const started = 1
+		time.Sleep(1500 * time.Millisecond)
+		c.shutdowns[0]()
+		c.appendJobs("a-0", "a-1", "a-2", "z")
+		pending, err := 0, errors.New("not asked yet")
+		for until := time.Now().Add(10 * time.Second); err != nil && time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+			pending, err = c.hosts[started].Pending("orders")
+			require.Equal(t, err == nil, c.hosts[started].IsReady())
+		}
+		require.NoError(t, err)
+		require.Equal(t, 4, pending)
+		time.Sleep(10 * time.Second)
+		state, err := c.status(started, "a-0")
+		require.NoError(t, err)
+		require.Equal(t, describer.JobCompleted, state)
+	})
+}
--- a/internal/entry/tracker/tracker.go
+++ b/internal/entry/tracker/tracker.go
@@ -30,7 +30,7 @@
 
 // Tracker has the times of reads. The zero value has none. It is not safe for concurrent use.
 type Tracker struct {
-	// JobsAt and ClaimsAt are when these topics were last read in full.
+	// JobsAt and ClaimsAt are when these topics were last read to the end of the log.
 	JobsAt   time.Time
 	ClaimsAt time.Time
 	// ClaimsFailedAt is when a read of the claims last failed.
@@ -44,13 +44,19 @@
 
 // RecordJobs records that jobs were read and returns the records that were not read before.
 func (t *Tracker) RecordJobs(now time.Time, batch storer.Batch) []storer.Entry {
-	t.JobsAt, t.storeAt = now, now
+	t.storeAt = now
+	if batch.IsAtEnd() {
+		t.JobsAt = now
+	}
 	return advance(&t.nextJob, batch)
 }
 
 // RecordClaims records that claims were read and returns the records that were not read before.
 func (t *Tracker) RecordClaims(now time.Time, batch storer.Batch) []storer.Entry {
-	t.ClaimsAt, t.storeAt = now, now
+	t.storeAt = now
+	if batch.IsAtEnd() {
+		t.ClaimsAt = now
+	}
 	return advance(&t.nextClaim, batch)
 }
 
@@ -77,7 +83,7 @@
 // RecordReply records that the store replied to a read.
 func (t *Tracker) RecordReply(now time.Time) { t.storeAt = now }
 
-// HasReadAll reports whether the jobs and the claims were each read at least once.
+// HasReadAll reports whether the jobs and the claims were each read to the end of the log at least once.
 func (t *Tracker) HasReadAll() bool { return !t.JobsAt.IsZero() && !t.ClaimsAt.IsZero() }
 
 // ViewAt returns how recent the view of the jobs is. Submissions are in the topic of jobs or, if a
--- a/internal/entry/tracker/tracker_test.go
+++ b/internal/entry/tracker/tracker_test.go
@@ -52,6 +52,24 @@
 	require.Equal(t, time.Unix(20, 0), k.ViewAt())
 }
 
+// TestPartOfLogIsNoView guards against a view that counts as complete or recent although the store replied with
+// a part of the records.
+func TestPartOfLogIsNoView(t *testing.T) {
+	var k tracker.Tracker
+	part, rest := storer.Batch{Next: 4, End: 9}, storer.Batch{Next: 9, End: 9}
+	k.RecordJobs(time.Unix(10, 0), part)
+	k.RecordClaims(time.Unix(10, 0), part)
+	require.False(t, k.HasReadAll())
+	require.False(t, k.IsStoreDown(time.Unix(10, 0)), "the store replies")
+	k.RecordJobs(time.Unix(11, 0), rest)
+	k.RecordClaims(time.Unix(12, 0), rest)
+	require.True(t, k.HasReadAll())
+	k.RecordJobs(time.Unix(20, 0), part)
+	k.RecordClaims(time.Unix(21, 0), part)
+	require.Equal(t, time.Unix(11, 0), k.ViewAt())
+	require.Equal(t, time.Unix(12, 0), k.ClaimsAt)
+}
+
 // TestRecordsAreReadOnce guards against records that are missed since a list has newer ones, and against
 // records that are applied again, after those that replaced them, by a second reader of the topic.
 func TestRecordsAreReadOnce(t *testing.T) {
