--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -10,53 +10,24 @@
 	"lentilrock.example/internal/fleet/journaler"
 )
 
-const (
-	// jobsPause is the pause between reads of the jobs on hosts other than the holder, which
-	// read jobs only to report their state.
-	jobsPause = 700 * time.Millisecond
-	// claimsPause is the pause between reads of the claims on hosts other than the holder. Their
-	// view may lag, since they query the holder about jobs that have not ended.
-	claimsPause = 600 * time.Millisecond
-	// holderClaimsPause is the same pause on the holder, which appends the records itself.
-	holderClaimsPause = 250 * time.Millisecond
-	// operatorsPause is how long configurations are collected before they are read.
-	operatorsPause = 100 * time.Millisecond
-	// holderWorkersPause is the pause between reads of the host list on the holder. It bounds the
-	// delay until the holder reads a change of a worker.
-	holderWorkersPause = 300 * time.Millisecond
-	// workersPause is the same pause on the other hosts, which need the list only after a claim.
-	workersPause = time.Second
-	// relistInterval is how often the whole host list is read again.
-	relistInterval = 3 * time.Second
-)
+// relistInterval is how often the whole host list is read again.
+const relistInterval = 3 * time.Second
 
 // followers returns a follower for each topic that the host reads.
 func (k *Coordinator) followers() []*follower.Follower {
 	followers := []*follower.Follower{
-		{Topic: storer.Jobs, Reset: k.applyJobs, ApplyPage: k.applyRoutes, Apply: k.applyJobs, Pause: k.readPause(0, jobsPause)},
-		{Topic: storer.Claims, Reset: k.applyClaims, ApplyPage: k.applyRoutes, Apply: k.applyClaims, OnFailure: k.recordClaimsFailure, Pause: k.readPause(holderClaimsPause, claimsPause), Wake: k.claimsWaker},
-		{Topic: storer.Operators, Reset: k.applyOperators, Apply: k.applyOperators, Pause: k.readPause(operatorsPause, operatorsPause)},
-		{Topic: storer.Workers, Reset: k.resetWorkers, Apply: k.applyWorkers, Pause: k.readPause(holderWorkersPause, workersPause), RelistInterval: relistInterval},
+		{Topic: storer.Jobs, Reset: k.applyJobs, ApplyPage: k.applyRoutes, Apply: k.applyJobs},
+		{Topic: storer.Claims, Reset: k.applyClaims, ApplyPage: k.applyRoutes, Apply: k.applyClaims, OnFailure: k.recordClaimsFailure, Wake: k.claimsWaker},
+		{Topic: storer.Operators, Reset: k.applyOperators, Apply: k.applyOperators},
+		{Topic: storer.Workers, Reset: k.resetWorkers, Apply: k.applyWorkers, RelistInterval: relistInterval},
 	}
 	for _, f := range followers {
 		f.Store, f.Clock, f.Logger = k.options.Store, k.options.Clock, k.options.Logger
+		f.Pause = func() time.Duration { return follower.Pause(f.Topic, k.IsHolder()) }
 	}
 	return followers
 }
 
-// readPause returns a function for the pause between reads: holderPause on the holder, else
-// otherPause.
-func (k *Coordinator) readPause(holderPause, otherPause time.Duration) func() time.Duration {
-	return func() time.Duration {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		if k.holder != nil {
-			return holderPause
-		}
-		return otherPause
-	}
-}
-
 // isHolderUnresponsive reports whether the holder does not reply to probes of this host.
 func (k *Coordinator) isHolderUnresponsive() bool { return k.prober.View().IsUnresponsive }
 
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -15,7 +15,7 @@
 
 // maxViewAge is how old the last read of the jobs may be for this host to report the state of a job that it
 // knows without asking its peers.
-const maxViewAge = follower.ReadWait + jobsPause + 200*time.Millisecond
+const maxViewAge = follower.ReadWait + follower.JobsPause + 200*time.Millisecond
 
 // Submit persists a job; the job is accepted once Submit returns nil. Errors wrap
 // storer.ErrRefused, after which the job never runs, storer.ErrOutcomeUnknown, ErrNotReady or
