Read on without a pause while the log has more records

Cause: such a host has more to read than a reply holds (1 MB).

Change: the pause between reads comes only after a read that has reached the end of the log.

--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -53,7 +53,7 @@
 	Apply func(batch storer.Batch)
 	// OnFailure is called after each failed read.
 	OnFailure func()
-	// Pause returns the pause between reads.
+	// Pause returns the pause between reads. There is none while the log has more records.
 	Pause func() time.Duration
 	// RelistInterval is how often the whole topic is listed again; 0 means never.
 	RelistInterval time.Duration
@@ -134,7 +134,7 @@
 		f.recordSuccess()
 		from = batch.Next
 		f.Apply(batch)
-		if wait := f.Pause(); wait > 0 {
+		if wait := f.Pause(); wait > 0 && batch.IsAtEnd() {
 			f.Wake.Pause(ctx, f.Clock, wait)
 		}
 	}
--- a/internal/entry/follower/follower_test.go
+++ b/internal/entry/follower/follower_test.go
@@ -42,6 +42,56 @@
 	return storer.Page{}, s.reply(ctx, 5*time.Millisecond)
 }
 
+// partialStore replies with at most maxRecords records of a log, to which a record is appended each period.
+type partialStore struct {
+	storer.Store
+	startedAt  time.Time
+	period     time.Duration
+	maxRecords int64
+}
+
+func (s *partialStore) end() int64 { return int64(time.Since(s.startedAt) / s.period) }
+
+func (s *partialStore) Read(_ context.Context, _ storer.Topic, from int64, _ time.Duration) (storer.Batch, error) {
+	time.Sleep(10 * time.Millisecond)
+	batch := storer.Batch{Next: min(from+s.maxRecords, s.end()), End: s.end()}
+	for offset := from; offset < batch.Next; offset++ {
+		batch.Entries = append(batch.Entries, storer.Entry{Offset: offset})
+	}
+	return batch, nil
+}
+
+func (s *partialStore) Newest(context.Context, storer.Topic, string) (storer.Page, error) {
+	return storer.Page{}, nil
+}
+
+// TestFollowerReadsOnWhileRecordsAreLeft guards against a host that was cut off from the store, reads a part of
+// what was appended meanwhile, and then pauses although more is left.
+func TestFollowerReadsOnWhileRecordsAreLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &partialStore{startedAt: time.Now(), period: 10 * time.Millisecond, maxRecords: 30}
+		time.Sleep(4 * time.Second)
+		var endAt time.Time
+		f := follower.Follower{
+			Store: s, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Topic: storer.Claims, Reset: func(storer.Batch) {},
+			Apply: func(batch storer.Batch) {
+				if batch.IsAtEnd() && endAt.IsZero() {
+					endAt = time.Now()
+				}
+			},
+			Pause: func() time.Duration { return 200 * time.Millisecond },
+		}
+		startedAt := time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		require.False(t, endAt.IsZero(), "the end of the log was not reached")
+		require.LessOrEqual(t, endAt.Sub(startedAt), 200*time.Millisecond, "reads of 400 records in parts of 30")
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // TestReadsResumeAfterSilentStore answers the pattern of a store that gets silent for seconds. It
 // guards against a host that waits for the time limit of a read that was sent during the outage, so
 // that nobody takes over, and nothing is accepted, for seconds after the store is back.
