Accept records again once the store replies after a period of reset connections

Callers saw: a record refused with "the store answers nothing" although the store replied again.

Cause: the submitter counts how long the store has been silent from the first append without a reply. An append that ended at once because its connection was reset left that count running. During resets each batch is sent again every 120 ms while its caller waits, so after 1.3 s every record that arrived while such a retry was in flight was refused, without asking the store whether it replies, also when the store was back.

Change: an append that ends within the time of a fast append with an unknown outcome no longer counts as silence. Only appends still in flight do, so a store that resets some connections and leaves other appends without a reply still counts as unresponsive. Appends that time out or end late count as before. Records that arrive during resets are decided by the check of the store alone: refused if it fails, else one is sent every 150 ms, as in the pauses between retries before.

TestKeep is unchanged; its fake store only gained checks that succeed during resets, off by default.

--- a/internal/entry/submitter/submitter.go
+++ b/internal/entry/submitter/submitter.go
@@ -96,7 +96,7 @@
 	// inFlight has the appends without a reply so far.
 	inFlight map[*pendingAppend]bool
 	// unansweredSince is the start of the first append after the last reply of the store; zero
-	// if no append has started since that reply.
+	// if no append has started since that reply. Appends whose connection was reset do not count.
 	unansweredSince time.Time
 	// isSlow reports that the last append that succeeded or got no reply took longer than
 	// fastAppendTime.
@@ -233,10 +233,13 @@
 	defer s.mu.Unlock()
 	delete(s.inFlight, p)
 	now := s.options.Clock.Now()
-	if !errors.Is(err, storer.ErrOutcomeUnknown) {
+	isFast := now.Sub(p.startedAt) <= fastAppendTime
+	switch {
+	case !errors.Is(err, storer.ErrOutcomeUnknown):
 		s.unansweredSince = time.Time{}
+	case isFast:
+		s.discountReset()
 	}
-	isFast := now.Sub(p.startedAt) <= fastAppendTime
 	isGivenUp := errors.Is(ctx.Err(), context.Canceled)
 	if err != nil && !isGivenUp && s.failingSince.IsZero() {
 		s.failingSince = now
@@ -252,6 +255,20 @@
 	return offset, err
 }
 
+// discountReset updates unansweredSince after an append that ended at once without a reply. That is no
+// silence of the store; only the appends still in flight may be. The caller has the lock.
+func (s *Submitter) discountReset() {
+	var oldest time.Time
+	for p := range s.inFlight {
+		if oldest.IsZero() || p.startedAt.Before(oldest) {
+			oldest = p.startedAt
+		}
+	}
+	if len(s.inFlight) == 0 || !s.unansweredSince.IsZero() && oldest.After(s.unansweredSince) {
+		s.unansweredSince = oldest
+	}
+}
+
 // cancelOlder cancels the appends that started before one that got a reply and have taken
 // longer than fastAppendTime.
 func (s *Submitter) cancelOlder(startedBefore, now time.Time) {
--- a/internal/entry/submitter/submitter_test.go
+++ b/internal/entry/submitter/submitter_test.go
@@ -26,8 +26,9 @@
 	appends        atomic.Int64
 	// lostReplies is how many of the next replies are lost.
 	lostReplies atomic.Int64
-	// isResetting makes appends fail at once with an unknown outcome.
+	// isResetting makes appends fail at once with an unknown outcome, and checks fail unless isReadable.
 	isResetting atomic.Bool
+	isReadable  atomic.Bool
 }
 
 func (s *store) Append(ctx context.Context, _ storer.Append) (int64, error) {
@@ -47,7 +48,7 @@
 func start(t *testing.T, s *store) *submitter.Submitter {
 	sub := submitter.New(submitter.Options{
 		Appender: s, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), OnAppended: func([]journaler.Record, int64) {},
-		StoreReplies: func(context.Context) bool { return !s.isResetting.Load() },
+		StoreReplies: func(context.Context) bool { return !s.isResetting.Load() || s.isReadable.Load() },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go sub.Run(ctx)
@@ -160,3 +161,47 @@
 		})
 	})
 }
+
+// TestRecordsAreAcceptedOnceResetsEnd guards against callers that are refused although the store
+// replies again, since a retry happens to be in flight after a period of reset connections.
+func TestRecordsAreAcceptedOnceResetsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		sub := start(t, s)
+		s.isResetting.Store(true)
+		go func() { _, _ = persist(sub) }()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		s.delay.Store(int64(100 * time.Millisecond))
+		s.isResetting.Store(false)
+		for appends := s.appends.Load(); s.appends.Load() == appends; {
+			time.Sleep(10 * time.Millisecond)
+		}
+		took, err := persist(sub)
+		require.NoError(t, err, "a record must be accepted while the store handles the retry")
+		require.Less(t, took, 150*time.Millisecond)
+	})
+}
+
+// TestResetsDoNotHideSilence guards against callers that wait for a store that replies to nothing,
+// since the connections of some appends are reset while the others stay open.
+func TestResetsDoNotHideSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		s.isReadable.Store(true)
+		sub := start(t, s)
+		s.isUnresponsive.Store(true)
+		for range 2 {
+			go func() { _, _ = persist(sub) }()
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		s.isResetting.Store(true)
+		s.isUnresponsive.Store(false)
+		time.Sleep(time.Second)
+		require.Greater(t, s.appends.Load(), int64(4), "appends whose connection was reset, beside one without a reply")
+		took, err := persist(sub)
+		require.True(t, errors.Is(err, storer.ErrRefused), "%v", err)
+		require.Zero(t, took)
+	})
+}
