Don't take a run for lost that a full list of results omits

Callers would see: tasks that ran twice (TWICE), and more work done than was asked for.

Cause: a worker lists at most 500 results of ended runs. A run that is in neither list of an inventory counted as lost and its task started again, though its result may be one that the worker has not listed yet. The results of a worker pile up while progress can't be persisted, since they are acknowledged only afterwards. A new holder drew the same conclusion from its first poll: it took the runs of the former holder for known.

Change: the inventory says whether its list of results is full. Absence from such a list ends no run, and a job that a former holder began waits until each worker has sent a list that is not full.

Tests, red before: TestWorkers "a run whose result is missing from a full list of results is not lost", TestTakeover "a new holder does not repeat tasks whose results are missing from a full list".

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -216,6 +216,20 @@
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireInvariants()
 	})
+	t.Run("a new holder does not repeat tasks whose results are missing from a full list", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.maxResults = 4
+		c.submit("a", describer.Queue{}, tasks(12))
+		c.run(4 * tickInterval)
+		c.isStoreDown = true
+		c.run(4 * runTime)
+		c.isStoreDown = false
+		c.claim()
+		c.run(6 * runTime)
+		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+		c.requireStartedOnce()
+		c.requireInvariants()
+	})
 	t.Run("a worker that drained and left delays no tasks", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.submit("a", describer.Queue{}, tasks(8))
@@ -331,6 +345,19 @@
 		c.d.PollAnswered(c.clock.Now(), poll, late, verdict)
 		require.Empty(t, c.d.TakeOrders(), "the dispatcher took an ended run for a running one")
 	})
+	t.Run("a run whose result is missing from a full list of results is not lost", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.maxResults = 4
+		c.submit("a", describer.Queue{}, tasks(12))
+		c.run(4 * tickInterval)
+		c.isStoreDown = true
+		c.run(6 * runTime)
+		c.isStoreDown = false
+		c.run(6 * runTime)
+		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+		c.requireStartedOnce()
+		c.requireInvariants()
+	})
 	t.Run("a draining worker gets no new tasks", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.fleet.Update("w-0", func(w *fencer.Worker) { w.Info.Draining = true })
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -44,6 +44,8 @@
 	ticks    int
 	// options are the settings of the next holder.
 	options dispatcher.Options
+	// maxResults is how many results of ended runs a worker lists at a time; 0 lists all.
+	maxResults int
 }
 
 func newCell(t testing.TB, workers int) *cell {
@@ -162,10 +164,19 @@
 		return
 	}
 	poll.Wait = 0
-	inventory, verdict := c.fleet.Poll(context.Background(), poll)
+	inventory, verdict := c.inventory(poll)
 	c.d.PollAnswered(c.clock.Now(), poll, inventory, verdict)
 }
 
+// inventory returns a worker's reply to a poll, with at most maxResults results.
+func (c *cell) inventory(poll orderer.Poll) (orderer.Inventory, orderer.Verdict) {
+	inventory, verdict := c.fleet.Poll(context.Background(), poll)
+	if c.maxResults > 0 && len(inventory.Results) >= c.maxResults {
+		inventory.Results, inventory.MayOmitResults = inventory.Results[:c.maxResults], true
+	}
+	return inventory, verdict
+}
+
 func (c *cell) execute(order dispatcher.Order) {
 	ctx, now := context.Background(), c.clock.Now()
 	switch o := order.(type) {
@@ -181,7 +192,7 @@
 	case orderer.Pace:
 		c.d.PaceAnswered(now, o, c.fleet.Pace(ctx, o))
 	case orderer.Poll:
-		inventory, verdict := c.fleet.Poll(ctx, o)
+		inventory, verdict := c.inventory(o)
 		c.d.PollAnswered(now, o, inventory, verdict)
 	case orderer.AdviceRequest:
 		c.d.AdviceAnswered(now, o, c.advice(o), true)
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -88,6 +88,8 @@
 	Reserved Reservation
 	// IsSynced reports that the worker replied to a request with the current fencing token.
 	IsSynced bool
+	// HasListedResults reports that a reply with the current fencing token omitted no results.
+	HasListedResults bool
 	// Incarnation is the incarnation that sent the last reply; 0 before the first reply.
 	Incarnation int64
 	RepliedAt   time.Time
@@ -131,11 +133,12 @@
 	return w.FreeCapacity()
 }
 
-// MayHaveUnknownRuns reports whether the worker may have runs of a former holder that this
-// holder does not know. The runs on an unresponsive worker are known, as they are part of the
+// MayHaveUnknownRuns reports whether the worker may have runs of a former holder, or results of
+// such runs, that this holder does not know. The runs on an unresponsive worker are known, as they are part of the
 // persisted progress.
 func (w *Worker) MayHaveUnknownRuns(now time.Time) bool {
-	return !w.IsSynced && !w.IsUnresponsive && !w.Lease.HasExpired(now) && !w.HasLeft()
+	isUnread := !w.IsSynced && !w.IsUnresponsive || w.IsSynced && !w.HasListedResults
+	return isUnread && !w.Lease.HasExpired(now) && !w.HasLeft()
 }
 
 // HasExpired reports whether the worker can no longer run anything, because all its leases have
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -192,6 +192,9 @@
 	Clock   time.Duration
 	Running []Running
 	Results []RunResult
+	// MayOmitResults reports that the list of results is as long as a worker makes it, so that further
+	// results may be missing.
+	MayOmitResults bool
 }
 
 // AdviceRequest requests advice on which of the given workers may run a step.
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -58,6 +58,7 @@
 		w.Lease.ExpiresAt = wt.Now.Add(leaser.ExpiryOf(wt.Options.FormerLease))
 	}
 	w.HasFailedPoll, w.IsSynced, w.HasUnconfirmedStart, w.RepliedAt = false, true, false, wt.Now
+	w.HasListedResults = w.HasListedResults || !inventory.MayOmitResults
 	w.ReplyClock = inventory.Clock
 	w.Lease.Sample(wt.Now, inventory.Clock)
 	wt.applyResults(w, inventory.Results)
@@ -67,7 +68,8 @@
 		wt.reconciler.ApplyRunning(w, running)
 	}
 	for key, r := range w.Runs {
-		if !present[key] {
+		// A run that is missing from both lists may have a result that the worker has not listed yet.
+		if !present[key] && !inventory.MayOmitResults {
 			wt.reconciler.ApplyAbsent(r, poll.SentAt)
 		}
 	}
