Don't end runs on a machine's new worker when an earlier order for its upkeep is confirmed

Callers would see: tasks that last run twice at the same time (TWICE). Besides, a worker could stay without tasks for good.

Cause: the platform also replies 200 when an upkeep was carried out before. The holder took each 200 for an upkeep of this moment and resolved the runs of the worker that the machine has by now. If the replies to an order are lost until the machine is back (2 s), that is a new worker whose runs go on, and their tasks start again. A new holder that does not know of the upkeep orders it again, gets 200, and keeps the new worker marked as leaving.

With replies lost for 6 s, serves.0.0.0 is started again while it runs on the new worker; after a takeover the new worker gets 0 of 4 tasks. With this change: no overlap, and 4 of 4.

Change: after a 200 the runs are resolved once a list of machines that was requested later shows that their worker is gone. They count as unavailable until then, and lists go on until then. So the tasks of a machine that was taken down start up to one list (1 s) later than now.

Tests, red before: TestUpkeep "a reply that an earlier order was carried out ends no run on the new worker of the machine" and "the worker of a machine that had its upkeep under the former holder gets tasks again". "A task of the last machine starts elsewhere before its lease expires" passes before and after. The test cell ticks after each reply to an order for upkeep, as the holder does.

--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -187,6 +187,11 @@
 		c.d.StopAnswered(now, o, c.fleet.Stop(ctx, o))
 	case orderer.Upkeep:
 		c.d.UpkeepAnswered(now, o, c.machines.Upkeep(ctx, o))
+		// The holder ticks after each reply, before the next poll returns.
+		c.d.Tick(now)
+		for _, next := range c.d.TakeOrders() {
+			c.execute(next)
+		}
 	case orderer.WaveReport:
 		require.NoError(c.t, c.machines.ReportWave(ctx, o))
 	case orderer.Pace:
--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -85,6 +85,48 @@
 		require.Equal(t, 3, c.machines.Upkeeps(1))
 		require.Equal(t, 1, c.machines.MaxDown())
 	})
+	t.Run("a reply that an earlier order was carried out ends no run on the new worker of the machine", func(t *testing.T) {
+		c, wave := newWave(t, 2, 1)
+		longRunning := describer.Step{Count: 2, LongRunning: true, MaxUnavailable: 2, MaxPerWorker: 1, Need: describer.Resources{MilliCPU: 1000, MemoryMB: 10}}
+		c.submit("serves", describer.Queue{}, longRunning)
+		c.run(time.Second)
+		c.machines.LosesReplies = true
+		c.d.SetWave(c.clock.Now(), wave)
+		c.run(6 * time.Second)
+		require.Equal(t, 1, c.machines.Upkeeps(1))
+		c.machines.LosesReplies = false
+		c.run(20 * time.Second)
+		require.Contains(t, c.machines.Reports(), completed)
+		c.requireInvariants()
+	})
+	t.Run("a task of the last machine starts elsewhere before its lease expires", func(t *testing.T) {
+		c, wave := newWave(t, 2, 1)
+		wave.Machines = wave.Machines[:1]
+		c.run(3 * time.Second)
+		c.submit("serves", describer.Queue{}, describer.Step{Count: 1, LongRunning: true, MaxUnavailable: 1, DataRack: "r1-1", Need: describer.Resources{MilliCPU: 1000, MemoryMB: 10}})
+		c.run(time.Second)
+		require.Equal(t, []string{"serves.0.0.0"}, c.fleet.Running("w-0"))
+		c.d.SetWave(c.clock.Now(), wave)
+		c.run(time.Second)
+		require.Equal(t, 1, c.machines.Upkeeps(1))
+		require.Equal(t, []string{"serves.0.0.0"}, c.fleet.Running("w-1"))
+	})
+	t.Run("the worker of a machine that had its upkeep under the former holder gets tasks again", func(t *testing.T) {
+		c, wave := newWave(t, 2, 1)
+		c.run(3 * time.Second)
+		c.isStoreDown = true
+		c.d.SetWave(c.clock.Now(), wave)
+		c.run(time.Second)
+		require.Equal(t, 1, c.machines.Upkeeps(1))
+		c.isStoreDown = false
+		c.claim()
+		c.d.SetWave(c.clock.Now(), wave)
+		c.run(20 * time.Second)
+		require.Equal(t, 2, c.machines.Upkeeps(1))
+		c.submit("a", describer.Queue{}, tasks(8))
+		c.run(runTime / 2)
+		require.Len(t, c.fleet.Running("w-0+"), 4)
+	})
 	t.Run("a list requested before the start of an upkeep does not mark the machine as up", func(t *testing.T) {
 		c, wave := newWave(t, 3, 1)
 		stale, err := c.machines.List(t.Context())
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -55,6 +55,16 @@
 	machines   map[string]describer.Machine
 	// listedAt is when the current list of machines was requested; zero before the first list.
 	listedAt time.Time
+	// departures are the machines whose upkeep has started and for which no later list was read yet.
+	departures map[string]departure
+}
+
+// departure is the last known worker of a machine whose upkeep has started. The worker may be one that
+// has joined since, as an order is confirmed again when it is repeated.
+type departure struct {
+	worker      string
+	incarnation int64
+	confirmedAt time.Time
 }
 
 // wave is a wave of upkeep and its progress. The keys of its maps are IDs of machines.
@@ -76,7 +86,7 @@
 
 // New returns an evacuator without waves.
 func New(r *registrar.Registrar, s *reconciler.Reconciler) *Evacuator {
-	return &Evacuator{Registrar: r, reconciler: s, waves: make(map[int64]*wave)}
+	return &Evacuator{Registrar: r, reconciler: s, waves: make(map[int64]*wave), departures: make(map[string]departure)}
 }
 
 // SetWave adds a wave with the progress that is persisted for it. A wave with a known number is
@@ -95,9 +105,12 @@
 	e.waves[spec.Number] = w
 }
 
-// HasOpenWaves reports whether a wave is not reported as completed yet, so that SetMachines has
-// to be called.
+// HasOpenWaves reports whether a wave is not reported as completed yet, or its last machines have just
+// been taken down, so that SetMachines has to be called.
 func (e *Evacuator) HasOpenWaves() bool {
+	if len(e.departures) > 0 {
+		return true
+	}
 	for _, w := range e.waves {
 		if !w.isReportedCompleted() {
 			return true
@@ -115,6 +128,30 @@
 	for _, m := range machines {
 		e.machines[m.ID] = m
 	}
+	e.resolveDepartures()
+}
+
+// resolveDepartures resolves the runs on the machines that a list shows without their last known worker.
+func (e *Evacuator) resolveDepartures() {
+	for id, d := range e.departures {
+		if !e.listedAt.After(d.confirmedAt) {
+			continue
+		}
+		delete(e.departures, id)
+		worker, isKnown := e.Workers[d.worker]
+		isStillUp := e.machines[id].State == describer.MachineUp && e.machines[id].Worker == d.worker
+		if !isKnown || worker.Incarnation != d.incarnation {
+			continue
+		}
+		if isStillUp {
+			worker.IsLeaving = false
+			continue
+		}
+		for _, r := range worker.Runs {
+			e.reconciler.Resolve(r)
+		}
+		worker.Lease.ExpiresAt = time.Time{}
+	}
 }
 
 // Tick moves long-running tasks off drained workers and advances the waves. Waves wait for the
@@ -271,9 +308,14 @@
 	return isEmpty
 }
 
-// isGoingDown reports whether an order to take a worker's machine down is open. The order may
-// have been carried out.
+// isGoingDown reports whether an order to take a worker's machine down is open, which may have been
+// carried out, or whether its runs are not resolved yet after the order.
 func (e *Evacuator) isGoingDown(worker string) bool {
+	for _, d := range e.departures {
+		if d.worker == worker {
+			return true
+		}
+	}
 	for _, w := range e.waves {
 		for id := range w.orderedAt {
 			if e.machines[id].Worker == worker {
@@ -317,17 +359,15 @@
 	}
 }
 
-// upkeepStarted records that a machine is down, and resolves all runs on it.
+// upkeepStarted records that the upkeep of a machine has started. The runs there are resolved once a list
+// shows that their worker is gone: the reply may confirm an earlier order, and a new worker may be up.
 func (e *Evacuator) upkeepStarted(w *wave, id string) {
 	worker := e.workerOf(id)
 	w.done[id], w.startedAt[id] = true, e.Now
 	delete(w.orderedAt, id)
 	delete(w.evacuatingSince, id)
 	if worker != nil {
-		for _, r := range worker.Runs {
-			e.reconciler.Resolve(r)
-		}
-		worker.Lease.ExpiresAt = time.Time{}
+		e.departures[id] = departure{worker: worker.Info.ID, incarnation: worker.Incarnation, confirmedAt: e.Now}
 	}
 	e.Persister.MarkWaveChanged(journaler.WaveProgress{Number: w.Number, Done: sorter.Keys(w.done)})
 }
