Start upkeep after a takeover only from a list requested after the grace period

Callers would see: more machines of a wave down at a time than its max-count (LIMIT).

Cause: a new holder waits 3 s, in which orders of the former holder may still be carried out, but then acted on a list of machines that may have been requested before the end of that time. A machine that such an order took down meanwhile counted as up.

Evidence: found by reading; not seen in a play. With a list requested 2.9 s after the claim and an order of the former holder carried out then, two machines of a wave with a limit of one were down together; with this change, one.

Change: a wave waits for a list that was requested after the 3 s.

Test, red before: TestUpkeep "a list requested within the grace period does not show the orders of the former holder".

--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -74,6 +74,23 @@
 		require.Equal(t, 4, c.machines.Upkeeps(1))
 		require.Contains(t, c.machines.Reports(), completed)
 	})
+	t.Run("a list requested within the grace period does not show the orders of the former holder", func(t *testing.T) {
+		c, wave := newWave(t, 3, 1)
+		c.claim()
+		c.d.SetWave(c.clock.Now(), wave)
+		c.run(2900 * time.Millisecond)
+		stale, err := c.machines.List(t.Context())
+		require.NoError(t, err)
+		requestedAt := c.clock.Now()
+		c.machines.Upkeep(t.Context(), orderer.Upkeep{Machine: wave.Machines[2], Wave: 1, Token: c.epoch - 1})
+		for range 8 {
+			c.d.SetMachines(requestedAt, stale)
+			c.run(tickInterval)
+		}
+		c.run(20 * time.Second)
+		require.Equal(t, 3, c.machines.Upkeeps(1))
+		require.Equal(t, 1, c.machines.MaxDown())
+	})
 	t.Run("a machine whose order has no reply counts as down", func(t *testing.T) {
 		c, wave := newWave(t, 3, 1)
 		c.machines.LosesReplies = true
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -154,12 +154,12 @@
 	}
 }
 
-// Tick moves long-running tasks off drained workers and advances the waves. Waves wait for the
-// first list of machines and until no orders of a former holder are in flight.
+// Tick moves long-running tasks off drained workers and advances the waves. Waves wait for a list of
+// machines that was requested when no orders of a former holder were in flight any more.
 func (e *Evacuator) Tick(now time.Time) {
 	e.Now = now
 	e.moveLongRunning()
-	if e.listedAt.IsZero() || now.Sub(e.ClaimedAt) < formerHolderGrace {
+	if e.listedAt.Sub(e.ClaimedAt) < formerHolderGrace {
 		return
 	}
 	for _, number := range sorter.Keys(e.waves) {
