Ignore late replies of a worker's former incarnation

Callers would see: tasks that ran twice at the same time (TWICE).

Cause: replies on different connections may overtake each other. A reply whose incarnation differs from the current one was taken for a restart, and a reply that the address belongs to another worker for its replacement, also if the poll was sent before the current incarnation had replied. The runs of the current incarnation then counted as lost and their tasks started elsewhere.

With a reply of the former incarnation that arrives after six tasks were started, two of the tasks on the restarted worker start a second time while they run; with this change, none.

Change: a reply that names another incarnation, or another worker, counts only if its poll was sent after the first reply of the current incarnation. Otherwise the next poll tells. The start time in a reply is not compared, as clocks may be set back.

Test, red before for both kinds of reply: TestWorkers "a reply of a former incarnation that arrives late ends no runs".

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -345,6 +345,31 @@
 		c.d.PollAnswered(c.clock.Now(), poll, late, verdict)
 		require.Empty(t, c.d.TakeOrders(), "the dispatcher took an ended run for a running one")
 	})
+	t.Run("a reply of a former incarnation that arrives late ends no runs", func(t *testing.T) {
+		for name, reply := range map[string]orderer.Verdict{"inventory": orderer.Accepted, "another worker": orderer.OtherIncarnation} {
+			c := newCell(t, 2)
+			c.run(4 * tickInterval)
+			poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
+			poll.Wait = 0
+			late, verdict := c.fleet.Poll(t.Context(), poll)
+			require.Equal(t, orderer.Accepted, verdict)
+			c.clock.Advance(tickInterval)
+			c.fleet.Restart("w-0", 2)
+			c.run(4 * tickInterval)
+			c.submit("a", describer.Queue{}, tasks(6))
+			c.run(4 * tickInterval)
+			require.NotEmpty(t, c.fleet.Running("w-0"))
+			c.d.PollAnswered(c.clock.Now(), poll, late, reply)
+			c.d.Tick(c.clock.Now())
+			for _, order := range c.d.TakeOrders() {
+				c.execute(order)
+			}
+			c.run(3 * runTime)
+			require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+			require.Len(t, c.starts, 6, name)
+			c.requireInvariants()
+		}
+	})
 	t.Run("a run whose result is missing from a full list of results is not lost", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.maxResults = 4
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -92,7 +92,9 @@
 	HasListedResults bool
 	// Incarnation is the incarnation that sent the last reply; 0 before the first reply.
 	Incarnation int64
-	RepliedAt   time.Time
+	// IncarnationAt is when the first reply of the incarnation arrived.
+	IncarnationAt time.Time
+	RepliedAt     time.Time
 	// HasFailedPoll reports that the last poll of the worker failed: it got no reply, or a reply
 	// without an inventory.
 	HasFailedPoll bool
@@ -160,8 +162,8 @@
 }
 
 // BeginIncarnation records a new incarnation and resets all state that belongs to the former one.
-func (w *Worker) BeginIncarnation(incarnation int64) {
-	w.Incarnation, w.ReplyClock, w.IsLeaving = incarnation, 0, false
+func (w *Worker) BeginIncarnation(incarnation int64, now time.Time) {
+	w.Incarnation, w.IncarnationAt, w.ReplyClock, w.IsLeaving = incarnation, now, 0, false
 	w.Results, w.Breaker, w.Pacer = acknowledger.ResultTracker{}, breaker.Breaker{}, pacer.Pacer{}
 }
 
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -18,24 +18,31 @@
 	return wt.reconciler.NextPoll(w), true
 }
 
-// PollAnswered applies the reply to a poll, or the failure of the poll.
+// PollAnswered applies the reply to a poll, or the failure of the poll. Replies may arrive late: one that
+// names another incarnation counts only if its poll was sent after the current one had replied.
 func (wt *Watcher) PollAnswered(now time.Time, poll orderer.Poll, inventory orderer.Inventory, verdict orderer.Verdict) {
 	wt.Now = now
 	w, found := wt.Workers[poll.Worker.ID]
 	if !found {
 		return
 	}
+	isBeforeIncarnation := !poll.SentAt.After(w.IncarnationAt)
 	switch verdict {
 	case orderer.Accepted:
 		if w.Incarnation == inventory.Incarnation && inventory.Clock < w.ReplyClock {
 			// The reply to a later poll arrived first, so this inventory is out of date.
 			return
 		}
+		if w.Incarnation != inventory.Incarnation && isBeforeIncarnation {
+			return
+		}
 		wt.applyInventory(w, poll, inventory)
 	case orderer.Fenced:
 		wt.IsFenced = true
 	case orderer.OtherIncarnation:
-		wt.workerReplaced(w)
+		if !isBeforeIncarnation {
+			wt.workerReplaced(w)
+		}
 	default:
 		if !w.HasFailedPoll {
 			wt.Report("A poll of a worker failed. The worker gets no tasks until it replies.", "worker", w.Info.ID, "verdict", verdict.String())
@@ -102,7 +109,7 @@
 		}
 		wt.reconciler.Resolve(r)
 	}
-	w.BeginIncarnation(incarnation)
+	w.BeginIncarnation(incarnation, wt.Now)
 }
 
 // applyResults applies the new results of ended runs at a worker. They are acknowledged, so
