Don't count a draining worker as gone that has replied since its entry disappeared

Callers would see: tasks that run twice at the same time (TWICE).

Cause: a draining worker that is missing from the host list counted as gone once a poll failed, and its runs started elsewhere at once. An entry also disappears after three check-ins of silence, while the store is down, or when it is deleted. One lost reply of such a worker was enough.

A draining worker whose entry is gone replies to two polls, then misses one: a.0.0.0 and a.0.0.1 start a second time while they run. With this change, each task starts once.

Change: a worker that has replied to a poll sent after its entry was missed has not left; its runs count as lost when its lease has expired, like those of other workers. A worker whose polls fail from then on still counts as gone at once. This can't tell a worker that left from one whose entry disappears while its polls fail already.

Tests: red before: TestWorkers "a draining worker that replies after its entry expired has not left when a poll fails". "Tasks of a draining worker start elsewhere at once when it leaves" passes before and after.

--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -67,6 +67,10 @@
 	Info describer.Worker
 	// IsListed reports that the worker is in the host list.
 	IsListed bool
+	// UnlistedAt is since when the worker is missing from the host list; zero while it is listed.
+	// AnsweredPollAt is when the last poll that returned an inventory was sent.
+	UnlistedAt     time.Time
+	AnsweredPollAt time.Time
 	// IsEnrolled reports that the newest persisted roster lists the worker as responsive.
 	// RosterBatch is the batch whose roster will list it; 0 if no such batch is pending.
 	IsEnrolled  bool
@@ -150,8 +154,11 @@
 }
 
 // HasLeft reports whether a drained worker is gone. Its entry is removed from the host list when
-// it leaves.
-func (w *Worker) HasLeft() bool { return w.Info.Draining && !w.IsListed && w.HasFailedPoll }
+// it leaves. An entry may also expire or be deleted while the worker is alive: one that has replied to a
+// poll sent after that has not left.
+func (w *Worker) HasLeft() bool {
+	return w.Info.Draining && !w.IsListed && w.HasFailedPoll && !w.AnsweredPollAt.After(w.UnlistedAt)
+}
 
 // AcceptsTasks reports whether tasks may be started on the worker. The host list entry and the
 // replies must be of the same incarnation, since another one may have a different capacity.
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -72,7 +72,12 @@
 		if found && info.Draining && !w.Info.Draining {
 			wt.Report("A worker is draining. It gets no new tasks.", "worker", info.ID, "remaining", info.Remaining, "runs", len(w.Runs))
 		}
-		w.Info, w.IsListed = info, true
+		w.Info, w.IsListed, w.UnlistedAt = info, true, time.Time{}
+	}
+	for _, w := range wt.Ordered {
+		if !w.IsListed && w.UnlistedAt.IsZero() {
+			w.UnlistedAt = now
+		}
 	}
 	slices.SortFunc(wt.Ordered, func(a, b *monitor.Worker) int { return strings.Compare(a.Info.ID, b.Info.ID) })
 }
