Take no machine down whose runs a new holder does not know yet

Callers would see: tasks that an upkeep ends at work, more of a step than may be away (AVAIL), and work that is lost instead of stopped.

Cause: a machine counted as evacuated when the holder knew no run on its worker. A new holder knows the runs of a worker only once the worker has replied to it; a worker that it can't reach may still run what the former holder started.

Change: a worker that may have runs of a former holder is not evacuated.

--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -283,9 +283,12 @@
 }
 
 // isEvacuated reports whether a worker runs nothing but long-running tasks that may go down
-// now. It stops the other runs that can resume from a checkpoint at once, and the rest after
-// the drain time.
+// now. A worker that may have runs of a former holder is not evacuated yet. isEvacuated stops the
+// other runs that can resume from a checkpoint at once, and the rest after the drain time.
 func (e *Evacuator) isEvacuated(w *wave, id string, worker *monitor.Worker) bool {
+	if worker.MayHaveUnknownRuns(e.Now) {
+		return false
+	}
 	isTimedOut := e.Now.Sub(w.evacuatingSince[id]) >= w.drainTime()
 	isEmpty := true
 	longRunning := make(map[*tasker.Step]int)
