Report a wave as completed only if two lists omit its missing machines

Callers would see: a wave that is reported as completed although a machine of it that stays has not begun its upkeep (MIXED).

Cause: a machine that the list of machines omits counted as gone. The list is read in pages, and the protocol does not say that they show one moment. Once a wave is reported as completed, the holder lists no machines any more, so the machine was never taken down.

Evidence: found by reading; whether the platform's pages omit a machine is not known. With one list that omits the second of two machines, the wave was reported as completed after one upkeep; with this change, after two.

Change: a machine counts as gone when two lists in a row omit it.

Test, red before: TestUpkeep "a wave is not completed because one list omits a machine".

--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -190,6 +190,28 @@
 		c.run(20 * time.Second)
 		require.Contains(t, c.machines.Reports(), completed)
 	})
+	t.Run("a wave is not completed because one list omits a machine", func(t *testing.T) {
+		c, wave := newWave(t, 2, 1)
+		c.run(4 * time.Second)
+		c.d.SetWave(c.clock.Now(), wave)
+		for range 40 {
+			if c.machines.Upkeeps(1) == 1 {
+				list, err := c.machines.List(t.Context())
+				require.NoError(t, err)
+				c.d.SetMachines(c.clock.Now(), list[:1])
+				break
+			}
+			c.run(tickInterval)
+		}
+		for range 20 {
+			c.run(time.Second)
+			if c.machines.Upkeeps(1) < 2 {
+				require.NotContains(t, c.machines.Reports(), completed)
+			}
+		}
+		require.Equal(t, 2, c.machines.Upkeeps(1))
+		require.Contains(t, c.machines.Reports(), completed)
+	})
 	t.Run("a run that exceeds the drain time is stopped", func(t *testing.T) {
 		c, wave := newWave(t, 1, 1)
 		wave.Duration = 8 * time.Second
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -55,6 +55,9 @@
 	machines   map[string]describer.Machine
 	// listedAt is when the current list of machines was requested; zero before the first list.
 	listedAt time.Time
+	// missingSince are the machines of waves that the current list omits, with the time when the first list
+	// without them was requested.
+	missingSince map[string]time.Time
 	// departures are the machines whose upkeep has started and for which no later list was read yet.
 	departures map[string]departure
 }
@@ -86,7 +89,7 @@
 
 // New returns an evacuator without waves.
 func New(r *registrar.Registrar, s *reconciler.Reconciler) *Evacuator {
-	return &Evacuator{Registrar: r, reconciler: s, waves: make(map[int64]*wave), departures: make(map[string]departure)}
+	return &Evacuator{Registrar: r, reconciler: s, waves: make(map[int64]*wave), departures: make(map[string]departure), missingSince: make(map[string]time.Time)}
 }
 
 // SetWave adds a wave with the progress that is persisted for it. A wave with a known number is
@@ -128,9 +131,30 @@
 	for _, m := range machines {
 		e.machines[m.ID] = m
 	}
+	e.recordMissing()
 	e.resolveDepartures()
 }
 
+// recordMissing records which machines of waves the current list omits.
+func (e *Evacuator) recordMissing() {
+	for _, w := range e.waves {
+		for _, id := range w.Machines {
+			if _, isListed := e.machines[id]; isListed {
+				delete(e.missingSince, id)
+			} else if e.missingSince[id].IsZero() {
+				e.missingSince[id] = e.listedAt
+			}
+		}
+	}
+}
+
+// isGone reports whether a machine no longer exists: two lists in a row omit it. A list is read in pages, so
+// a single one may omit a machine that exists.
+func (e *Evacuator) isGone(id string) bool {
+	since, isMissing := e.missingSince[id]
+	return isMissing && e.listedAt.After(since)
+}
+
 // resolveDepartures resolves the runs on the machines that a list shows without their last known worker.
 func (e *Evacuator) resolveDepartures() {
 	for id, d := range e.departures {
@@ -377,7 +401,7 @@
 
 // reportProgress orders a report to the operators when a wave has started or is completed.
 func (e *Evacuator) reportProgress(w *wave) {
-	isCompleted := !slices.ContainsFunc(w.Machines, func(id string) bool { return e.isPending(w, id) })
+	isCompleted := !slices.ContainsFunc(w.Machines, func(id string) bool { return !w.done[id] && !e.isGone(id) })
 	next := orderer.WaveReport{Wave: w.Number, IsCompleted: isCompleted}
 	if w.lastReport == nil || *w.lastReport != next {
 		w.lastReport = &next
