Don't replace an entry of the host list by an older one

Callers would see: a task that starts on a worker whose draining the host had read (DRAIN).

Cause: a host lists the workers in pages, then reads the log from the end that it had at the first page. The entries of later pages may be newer than the first records of that log, and these replaced them until the newer ones were read again. It needs a list of several pages (over 500 workers) and more than 1 MB of records appended meanwhile, as a read applies all its records together.

With an entry "draining" of offset 500 in the list, an older one of offset 470 made the worker ready, or removed it; with this change it stays draining.

Change: the catalog keeps the offset of each worker's entry and skips older ones.

Test, red before: TestOlderEntriesOfWorkersChangeNothing.

--- a/internal/entry/cataloger/cataloger.go
+++ b/internal/entry/cataloger/cataloger.go
@@ -43,13 +43,19 @@
 
 	decoder Decoder
 	log     *zap.Logger
-	workers map[string]describer.Worker
+	workers map[string]listing
+}
+
+// listing is a worker with the offset of its entry.
+type listing struct {
+	worker describer.Worker
+	offset int64
 }
 
 // New returns an empty catalog.
 func New(decoder Decoder, log *zap.Logger) *Catalog {
 	return &Catalog{
-		Waves: make(map[int64]describer.Wave), decoder: decoder, log: log, workers: make(map[string]describer.Worker),
+		Waves: make(map[int64]describer.Wave), decoder: decoder, log: log, workers: make(map[string]listing),
 	}
 }
 
@@ -98,10 +104,14 @@
 }
 
 // ApplyWorkers applies changes to the host list; now becomes its ListedAt. A worker whose entry
-// is empty or can't be decoded is removed.
+// is empty or can't be decoded is removed. An entry older than the known one changes nothing: later pages
+// of a list are newer than the records from which the log is read on.
 func (c *Catalog) ApplyWorkers(entries []storer.Entry, now time.Time) {
 	c.ListedAt = now
 	for _, e := range entries {
+		if e.Offset < c.workers[e.Key].offset {
+			continue
+		}
 		if len(e.Value) == 0 {
 			delete(c.workers, e.Key)
 			continue
@@ -112,7 +122,7 @@
 			c.log.Warn("workers: Host list entry can't be decoded; the worker is not listed.", zap.String("worker", e.Key), zap.String("error", err.Error()))
 			continue
 		}
-		c.workers[e.Key] = w
+		c.workers[e.Key] = listing{worker: w, offset: e.Offset}
 	}
 }
 
@@ -122,8 +132,8 @@
 // Workers returns the workers of the host list in no particular order.
 func (c *Catalog) Workers() []describer.Worker {
 	list := make([]describer.Worker, 0, len(c.workers))
-	for _, w := range c.workers {
-		list = append(list, w)
+	for _, l := range c.workers {
+		list = append(list, l.worker)
 	}
 	return list
 }
--- a/internal/entry/cataloger/cataloger_test.go
+++ b/internal/entry/cataloger/cataloger_test.go
@@ -68,3 +68,22 @@
 	require.Empty(t, c.Workers())
 	require.Equal(t, now.Add(time.Second), c.ListedAt)
 }
+
+// TestOlderEntriesOfWorkersChangeNothing guards against a worker that is taken for what it was before, since
+// the log is read again from the first page of a list on, whose later pages are newer.
+func TestOlderEntriesOfWorkersChangeNothing(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	c := cataloger.New(decoder{}, zap.NewNop())
+	at := func(offset int64, key, value string) storer.Entry {
+		e := entry(key, value)
+		e.Offset = offset
+		return e
+	}
+	c.ResetWorkers([]storer.Entry{at(460, "a", "ready"), at(500, "b", "draining")}, now)
+	for _, older := range []string{"ready", "", "bad"} {
+		c.ApplyWorkers([]storer.Entry{at(470, "b", older)}, now)
+		require.ElementsMatch(t, []describer.Worker{{ID: "a", Service: "ready"}, {ID: "b", Service: "draining"}}, c.Workers(), older)
+	}
+	c.ApplyWorkers([]storer.Entry{at(510, "a", ""), at(520, "b", "ready")}, now)
+	require.Equal(t, []describer.Worker{{ID: "b", Service: "ready"}}, c.Workers())
+}
