Count the acknowledgement of a stop only from the worker's current incarnation

Callers would see: a task that runs twice at the same time (TWICE).

Cause: a start without a reply may still be carried out after its worker has restarted, so its run stays until a stop is acknowledged and a poll lists no run. An acknowledgement that the former incarnation had sent, and that arrives after the restart was noticed, counted too, though the new incarnation does not refuse the start.

Change: a stop has the time at which it was sent, and its acknowledgement counts only if that is not before the first reply of the current incarnation. Otherwise the stop is sent again.

--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -76,6 +76,8 @@
 	Task   describer.TaskRef
 	Run    int64
 	Token  int64
+	// SentAt is when this host sent the order.
+	SentAt time.Time
 }
 
 // Pace orders a worker to limit the speed of a task to a percentage of full speed.
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -31,7 +31,7 @@
 		return
 	}
 	r.StopSentAt = s.Now
-	s.Order(orderer.Stop{Worker: w.Info, Task: r.Ref, Run: r.Number, Token: s.Options.Epoch})
+	s.Order(orderer.Stop{Worker: w.Info, Task: r.Ref, Run: r.Number, Token: s.Options.Epoch, SentAt: s.Now})
 }
 
 // StartAnswered applies the verdict on a start.
@@ -77,7 +77,8 @@
 	s.Resolve(r)
 }
 
-// StopAnswered applies the verdict on a stop.
+// StopAnswered applies the verdict on a stop. An acknowledgement counts only if the stop was sent after the
+// worker's current incarnation had replied: a former one does not refuse a start that arrives later.
 func (s *Reconciler) StopAnswered(now time.Time, stop orderer.Stop, verdict orderer.Verdict) {
 	s.Now = now
 	w, r := s.RunAt(stop.Worker.ID, stop.Task, stop.Run)
@@ -90,6 +91,9 @@
 	case orderer.Unknown, orderer.NotSent, orderer.OtherIncarnation, orderer.Unhealthy:
 		// The watcher sends the stop again after monitor.RetryPause.
 	default:
+		if stop.SentAt.Before(w.IncarnationAt) {
+			return
+		}
 		r.StopAckedAt = now
 		s.PollNow(w)
 	}
