Forget jobs that were removed while a host missed part of the log

Callers would see: a job that completed minutes before runs again (TWICE), and is reported and counted as running or pending.

Cause: a host that was cut off for longer than the store keeps records lists the topics again. It applied the records of the list to what it knew, but a list does not show what was removed meanwhile. Ended jobs are removed after 3 minutes, so jobs that ended and were removed in that time stayed in the host's view as they were. When the host held the cell later, it ran them again.

A host that is cut off for 6 minutes and then takes over starts tasks of two such jobs again (a.0.0.16, b.0.0.0); with this change, each task starts once and the host has no jobs.

Change: a list is complete up to the end that the log had at its first page. A job whose progress is older than that and not in the list of the claims has been removed, and so has a job without progress whose submission is not in the list of the jobs. A job that was submitted less than a minute before is never taken for removed: jobs are removed 3 minutes after their end, so nothing that is still of interest can be dropped by this.

Test, red before, also with either half of the change alone: TestHostThatMissedRemovalsRunsNoEndedJob.

--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -10,14 +10,18 @@
 	"lentilrock.example/internal/fleet/journaler"
 )
 
-// relistInterval is how often the whole host list is read again.
-const relistInterval = 3 * time.Second
+const (
+	// relistInterval is how often the whole host list is read again.
+	relistInterval = 3 * time.Second
+	// minRemovalAge is less than the age at which a job is removed. A younger one is never taken for removed.
+	minRemovalAge = time.Minute
+)
 
 // followers returns a follower for each topic that the host reads.
 func (k *Coordinator) followers() []*follower.Follower {
 	followers := []*follower.Follower{
-		{Topic: storer.Jobs, Reset: k.applyJobs, ApplyPage: k.applyRoutes, Apply: k.applyJobs},
-		{Topic: storer.Claims, Reset: k.applyClaims, ApplyPage: k.applyRoutes, Apply: k.applyClaims, OnFailure: k.recordClaimsFailure, Wake: k.claimsWaker},
+		{Topic: storer.Jobs, Reset: k.resetJobs, ApplyPage: k.applyRoutes, Apply: k.applyJobs},
+		{Topic: storer.Claims, Reset: k.resetClaims, ApplyPage: k.applyRoutes, Apply: k.applyClaims, OnFailure: k.recordClaimsFailure, Wake: k.claimsWaker},
 		{Topic: storer.Operators, Reset: k.applyOperators, Apply: k.applyOperators},
 		{Topic: storer.Workers, Reset: k.resetWorkers, Apply: k.applyWorkers, RelistInterval: relistInterval},
 	}
@@ -54,6 +58,22 @@
 	}
 }
 
+// resetJobs applies a list of the jobs topic. Jobs that it omits have been removed.
+func (k *Coordinator) resetJobs(list storer.Batch) {
+	k.mu.Lock()
+	k.state.RemoveUnlistedJobs(list.Keys(), list.Next, k.now().Add(-minRemovalAge))
+	k.mu.Unlock()
+	k.applyJobs(list)
+}
+
+// resetClaims applies a list of the claims topic. Jobs whose progress it omits have been removed.
+func (k *Coordinator) resetClaims(list storer.Batch) {
+	k.mu.Lock()
+	k.state.RemoveUnlistedProgress(list.Keys(), list.Next, k.now().Add(-minRemovalAge))
+	k.mu.Unlock()
+	k.applyClaims(list)
+}
+
 // applyJobs applies records of the jobs topic and passes changed jobs to the dispatcher.
 func (k *Coordinator) applyJobs(batch storer.Batch) {
 	k.mu.Lock()
--- a/internal/entry/storer/storer.go
+++ b/internal/entry/storer/storer.go
@@ -83,6 +83,15 @@
 // IsAtEnd reports whether no record was missing when the store replied last.
 func (b Batch) IsAtEnd() bool { return b.Next >= b.End }
 
+// Keys returns the keys of the records.
+func (b Batch) Keys() map[string]bool {
+	keys := make(map[string]bool, len(b.Entries))
+	for _, e := range b.Entries {
+		keys[e.Key] = true
+	}
+	return keys
+}
+
 // Page is one page of a list of the newest record of each key.
 type Page struct {
 	Entries []Entry
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -484,6 +484,29 @@
 	return e, nil
 }
 
+// RemoveUnlistedProgress removes the jobs whose progress was persisted before an offset and is not in a list
+// of the topic of claims that is complete up to that offset. A host that missed records of the log may have
+// missed their removal. Jobs submitted after a time stay: they are too young to have been removed.
+func (s *State) RemoveUnlistedProgress(listed map[string]bool, end int64, submittedBefore time.Time) {
+	for id, e := range s.Jobs {
+		isOld := e.Job == nil || e.Job.Received.Before(submittedBefore)
+		if isOld && e.HasProgress() && e.progressOffset < end && !listed[progressPrefix+string(id)] {
+			delete(s.Jobs, id)
+		}
+	}
+}
+
+// RemoveUnlistedJobs does the same for jobs without progress, with a list of the topic of jobs: a submission
+// in the topic of claims always has progress beside it.
+func (s *State) RemoveUnlistedJobs(listed map[string]bool, end int64, submittedBefore time.Time) {
+	for id, e := range s.Jobs {
+		isOld := e.Job != nil && e.Job.Received.Before(submittedBefore)
+		if isOld && !e.HasProgress() && e.JobOffset < end && !listed[JobKey(id)] {
+			delete(s.Jobs, id)
+		}
+	}
+}
+
 // deleteIncomplete deletes the entry of a job whose submission was removed or was never read.
 func (s *State) deleteIncomplete(id describer.JobID) {
 	if e, found := s.Jobs[id]; found && e.Job == nil {
