Start no task on a restarted worker while a poll to its former incarnation is in flight

A poll that was sent to the former incarnation acknowledges results up to a number. If it reaches the next incarnation after another poll did, tasks have started there already, and the worker discards their results by that number though the holder has not read them.

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -355,6 +355,8 @@
 			require.Equal(t, orderer.Accepted, verdict)
 			c.clock.Advance(tickInterval)
 			c.fleet.Restart("w-0", 2)
+			// The worker gets tasks once the poll was given up.
+			c.d.PollAnswered(c.clock.Now(), poll, orderer.Inventory{}, orderer.Unknown)
 			c.run(4 * tickInterval)
 			c.submit("a", describer.Queue{}, tasks(6))
 			c.run(4 * tickInterval)
@@ -446,6 +448,24 @@
 		c.run(3 * runTime)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 	})
+	t.Run("a poll for a former incarnation does not discard results of the next", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.submit("a", describer.Queue{}, tasks(4))
+		c.run(2 * runTime)
+		poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
+		poll.Wait = 0
+		require.EqualValues(t, 4, poll.Acknowledged)
+		c.fleet.Restart("w-0", 2)
+		c.run(4 * tickInterval)
+		c.submit("b", describer.Queue{}, tasks(4))
+		c.run(runTime - tickInterval)
+		c.clock.Advance(2 * tickInterval)
+		late, verdict := c.fleet.Poll(t.Context(), poll)
+		c.d.PollAnswered(c.clock.Now(), poll, late, verdict)
+		c.run(3 * runTime)
+		require.Equal(t, describer.JobCompleted, c.stateOf("b"))
+		c.requireInvariants()
+	})
 	t.Run("a draining worker gets no new tasks", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.fleet.Update("w-0", func(w *fencer.Worker) { w.Info.Draining = true })
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -99,6 +99,9 @@
 	// IncarnationAt is when the first reply of the incarnation arrived.
 	IncarnationAt time.Time
 	RepliedAt     time.Time
+	// pollsInFlight counts the polls without a reply so far, and stalePolls those of them that were
+	// sent before the worker began its current incarnation.
+	pollsInFlight, stalePolls int
 	// HasFailedPoll reports that the last poll of the worker failed: it got no reply, or a reply
 	// without an inventory.
 	HasFailedPoll bool
@@ -161,19 +164,33 @@
 }
 
 // AcceptsTasks reports whether tasks may be started on the worker. The host list entry and the
-// replies must be of the same incarnation, since another one may have a different capacity.
+// replies must be of the same incarnation, since another one may have a different capacity. A poll that was
+// sent to a former incarnation acknowledges results by number, so the worker gets no tasks until it is back:
+// it would discard the results of the current incarnation.
 func (w *Worker) AcceptsTasks(now time.Time) bool {
 	isSameIncarnation := w.Info.Incarnation == 0 || w.Info.Incarnation == w.Incarnation
-	isResponsive := w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
+	isResponsive := w.stalePolls == 0 && w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
 	return w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && !w.IsDrained && isSameIncarnation && isResponsive && w.Breaker.AllowsStarts(now)
 }
 
 // BeginIncarnation records a new incarnation and resets all state that belongs to the former one.
 func (w *Worker) BeginIncarnation(incarnation int64, now time.Time) {
 	w.Incarnation, w.IncarnationAt, w.ReplyClock, w.IsLeaving = incarnation, now, 0, false
+	w.stalePolls = w.pollsInFlight
 	w.Results, w.Breaker, w.Pacer = acknowledger.ResultTracker{}, breaker.Breaker{}, pacer.Pacer{}
 }
 
+// PollSent records that a poll is in flight.
+func (w *Worker) PollSent() { w.pollsInFlight++ }
+
+// PollEnded records the reply to a poll, or its failure. The incarnation is that of the poll.
+func (w *Worker) PollEnded(incarnation int64) {
+	w.pollsInFlight = max(w.pollsInFlight-1, 0)
+	if incarnation != w.Incarnation {
+		w.stalePolls = max(w.stalePolls-1, 0)
+	}
+}
+
 // Has reports whether the worker has a run that isKind accepts.
 func (w *Worker) Has(isKind func(*tasker.Run) bool) bool { return w.Count(isKind) > 0 }
 
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -142,6 +142,8 @@
 	Wait time.Duration
 	// SentAt is when this host sent the poll.
 	SentAt time.Time
+	// Incarnation is the incarnation of the worker that this host knew then; it is not sent.
+	Incarnation int64
 }
 
 // EndKind is how a run ended.
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -104,7 +104,8 @@
 // that the leases of all other workers expire and their runs can be given up.
 func (s *Reconciler) NextPoll(w *monitor.Worker) orderer.Poll {
 	now := s.Now
-	poll := orderer.Poll{Worker: w.Info, Token: s.Options.Epoch, Acknowledged: w.Results.Acknowledged(), SentAt: now}
+	poll := orderer.Poll{Worker: w.Info, Token: s.Options.Epoch, Acknowledged: w.Results.Acknowledged(), SentAt: now, Incarnation: w.Incarnation}
+	w.PollSent()
 	if w.IsSynced && !w.HasFailedPoll {
 		poll.Wait = s.Options.PollWait
 		poll.Deadline = w.Lease.Extend(now, s.Options.Lease)
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -27,6 +27,7 @@
 		return
 	}
 	isBeforeIncarnation := !poll.SentAt.After(w.IncarnationAt)
+	w.PollEnded(poll.Incarnation)
 	switch verdict {
 	case orderer.Accepted:
 		if w.Incarnation == inventory.Incarnation && inventory.Clock < w.ReplyClock {
