--- a/internal/cli/commander/entrycmd.go
+++ b/internal/cli/commander/entrycmd.go
@@ -33,7 +33,19 @@
 	if err != nil {
 		return errors.Errorf("create entry host: %w", err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
-	return host.Run(context.Background(), signals)
+	hangUps, terminations, stop := notify()
+	defer stop()
+	return host.Run(context.Background(), hangUps, terminations)
+}
+
+// notify returns channels that receive SIGHUP, and the signals that end the process, until stop is called.
+// A channel drops signals while it is full, so that a SIGHUP must not share one with a SIGTERM.
+func notify() (hangUps, terminations chan os.Signal, stop func()) {
+	hangUps, terminations = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	signal.Notify(terminations, syscall.SIGINT, syscall.SIGTERM)
+	return hangUps, terminations, func() {
+		signal.Stop(hangUps)
+		signal.Stop(terminations)
+	}
 }
