--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -32,6 +32,7 @@
 	"lentilrock.example/internal/entry/claimant"
 	"lentilrock.example/internal/entry/delegator"
 	"lentilrock.example/internal/entry/distributor"
+	"lentilrock.example/internal/entry/follower"
 	"lentilrock.example/internal/entry/forwarder"
 	"lentilrock.example/internal/entry/holder"
 	"lentilrock.example/internal/entry/measurer"
@@ -96,6 +97,7 @@
 	router       *router.Router
 	announcer    *announcer.Announcer
 	resolver     *resolver.Resolver
+	reader       follower.Reader
 	refresher    *refresher.Refresher
 	distributor  *distributor.Distributor
 	delegator    *delegator.Delegator
@@ -194,7 +196,11 @@
 		},
 		CachedStatus: func(id describer.JobID) forwarder.StatusReply { return k.resolver.CachedStatus(id) },
 	})
-	k.refresher = refresher.New(refresher.Options{Read: k.readToEnd, Clock: o.Clock})
+	k.reader = follower.Reader{
+		Store: o.Store, Clock: o.Clock, Logger: o.Logger, Next: k.nextUnread,
+		Apply: map[storer.Topic]func(storer.Batch){storer.Jobs: k.applyJobs, storer.Claims: k.applyClaims},
+	}
+	k.refresher = refresher.New(refresher.Options{Read: k.reader.ReadAll, Clock: o.Clock})
 	k.resolver = resolver.New(resolver.Options{
 		View: k.jobView, Refresh: k.refresh, Peers: k.forwarder, Clock: o.Clock, MaxViewAge: maxViewAge, IsHolderUnresponsive: k.isHolderUnresponsive,
 	})
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -94,9 +94,11 @@
 // then starts to hold the cell.
 func (k *Coordinator) takeOver(claim journaler.Claim) {
 	isMine := func() bool { return k.state.Claim.Epoch == claim.Epoch && !k.isLeaving }
-	if !k.catchUp(storer.Jobs, k.applyJobs, isMine).Run() {
-		return
-	}
+	k.reader.CatchUp(storer.Jobs, func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return isMine()
+	})
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if isMine() {
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -83,12 +83,16 @@
 	return k.reads.IsStoreDown(k.now())
 }
 
+// nextUnread returns the offset of the first record of a topic with jobs that may not have been read.
+func (k *Coordinator) nextUnread(topic storer.Topic) int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.reads.Next(topic)
+}
+
 // readStore reads from the store without waiting for records, to check that it replies.
 func (k *Coordinator) readStore(ctx context.Context) error {
-	k.mu.Lock()
-	from := k.reads.Next(storer.Jobs)
-	k.mu.Unlock()
-	_, err := k.options.Store.Read(ctx, storer.Jobs, from, 0)
+	_, err := k.options.Store.Read(ctx, storer.Jobs, k.nextUnread(storer.Jobs), 0)
 	if errors.Is(err, storer.ErrRecordsRemoved) {
 		return nil
 	}
@@ -107,25 +111,6 @@
 	return k.refresher.Refresh(ctx)
 }
 
-// readToEnd reads the topics with jobs to the ends that they have now.
-func (k *Coordinator) readToEnd(ctx context.Context) error {
-	isNeeded := func() bool { return true }
-	return follower.ReadAll(ctx, k.catchUp(storer.Jobs, k.applyJobs, isNeeded), k.catchUp(storer.Claims, k.applyClaims, isNeeded))
-}
-
-// catchUp returns a read of a topic to its end, for as long as isNeeded returns true, which is called
-// with the lock.
-func (k *Coordinator) catchUp(topic storer.Topic, apply func(storer.Batch), isNeeded func() bool) follower.CatchUp {
-	return follower.CatchUp{
-		Store: k.options.Store, Clock: k.options.Clock, Logger: k.options.Logger, Topic: topic, Apply: apply,
-		Next: func() (int64, bool) {
-			k.mu.Lock()
-			defer k.mu.Unlock()
-			return k.reads.Next(topic), isNeeded()
-		},
-	}
-}
-
 // Pending returns the number of accepted jobs of a queue of which no task has started. The error is
 // ErrNotReady before all jobs are read.
 func (k *Coordinator) Pending(queue string) (int, error) {
--- a/internal/entry/follower/catchup.go
+++ b/internal/entry/follower/catchup.go
@@ -13,69 +13,72 @@
 )
 
 const (
-	// catchUpTimeout bounds a read of a CatchUp.
+	// catchUpTimeout bounds a read of a Reader.
 	catchUpTimeout = time.Second
 	// catchUpRetryPause is the pause after a read that failed.
 	catchUpRetryPause = 50 * time.Millisecond
 )
 
-// CatchUp reads a topic to the end that it has when the reading begins. Records that are appended
-// meanwhile are not waited for: in a busy cell there are new ones in each read.
-type CatchUp struct {
+// Reader reads topics beside their followers, to the ends that they have when the reading begins. Records
+// that are appended meanwhile are not waited for: in a busy cell there are new ones in each read.
+type Reader struct {
 	Store  storer.Store
 	Clock  clockwork.Clock
 	Logger *zap.Logger
-	Topic  storer.Topic
-	// Next returns the offset of the first record that was not read yet, and false once the records are
-	// not needed any more.
-	Next func() (offset int64, isNeeded bool)
-	// Apply receives the records and moves the offset that Next returns.
-	Apply func(batch storer.Batch)
+	// Next returns the offset of the first record of a topic that was not read yet.
+	Next func(topic storer.Topic) int64
+	// Apply receives the records of a topic and moves the offset that Next returns.
+	Apply map[storer.Topic]func(batch storer.Batch)
 }
 
-// Run returns true once the records are read, and false if they are not needed any more. It retries reads
-// that fail.
-func (c CatchUp) Run() bool {
-	for {
-		isNeeded, err := c.read(context.Background())
-		if err == nil {
-			return isNeeded
-		}
-		c.Logger.Warn("claim: Reading the jobs failed; the takeover retries.", zap.Stringer("topic", c.Topic), zap.String("error", err.Error()))
-		c.Clock.Sleep(catchUpRetryPause)
+// ReadAll reads all topics at once, without retries.
+func (r Reader) ReadAll(ctx context.Context) error {
+	var mu sync.Mutex
+	var errs error
+	var reads sync.WaitGroup
+	for topic := range r.Apply {
+		reads.Go(func() {
+			err := r.read(ctx, topic, func() bool { return true })
+			mu.Lock()
+			defer mu.Unlock()
+			errs = errors.Join(errs, err)
+		})
 	}
+	reads.Wait()
+	return errs
 }
 
-// ReadAll reads several topics at once, without retries.
-func ReadAll(ctx context.Context, topics ...CatchUp) error {
-	errs := make([]error, len(topics))
-	var reads sync.WaitGroup
-	for i, c := range topics {
-		reads.Go(func() { _, errs[i] = c.read(ctx) })
+// CatchUp reads a topic and retries reads that fail. It returns early once isNeeded returns false.
+func (r Reader) CatchUp(topic storer.Topic, isNeeded func() bool) {
+	for isNeeded() {
+		err := r.read(context.Background(), topic, isNeeded)
+		if err == nil {
+			return
+		}
+		r.Logger.Warn("claim: Reading the jobs failed; the takeover retries.", zap.Stringer("topic", topic), zap.String("error", err.Error()))
+		r.Clock.Sleep(catchUpRetryPause)
 	}
-	reads.Wait()
-	return errors.Join(errs...)
 }
 
-// read returns false if the records are not needed any more.
-func (c CatchUp) read(ctx context.Context) (bool, error) {
+func (r Reader) read(ctx context.Context, topic storer.Topic, isNeeded func() bool) error {
 	end, hasEnd := int64(0), false
-	for {
-		from, isNeeded := c.Next()
-		if !isNeeded || hasEnd && from >= end {
-			return isNeeded, nil
+	for isNeeded() {
+		from := r.Next(topic)
+		if hasEnd && from >= end {
+			return nil
 		}
 		readCtx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-		batch, err := c.Store.Read(readCtx, c.Topic, from, 0)
+		batch, err := r.Store.Read(readCtx, topic, from, 0)
 		cancel()
 		switch {
 		case err != nil:
-			return true, err
+			return errors.Errorf("read %s from %d to their end: %w", topic, from, err)
 		case hasEnd && len(batch.Entries) == 0:
-			return true, errors.Errorf("read %s from %d: no records before the end at %d", c.Topic, from, end)
+			return errors.Errorf("read %s from %d: no records before the end at %d", topic, from, end)
 		case !hasEnd:
 			end, hasEnd = batch.End, true
 		}
-		c.Apply(batch)
+		r.Apply[topic](batch)
 	}
+	return nil
 }
