Acknowledge no results in a poll after one that failed

The worker may have restarted in between, and numbers its results anew. A start that was under way reaches the next incarnation; its result would be discarded before the holder has read it, and the task would run again.

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -466,6 +466,16 @@
 		require.Equal(t, describer.JobCompleted, c.stateOf("b"))
 		c.requireInvariants()
 	})
+	t.Run("a poll after one that failed acknowledges nothing, as the worker may have restarted", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.submit("a", describer.Queue{}, tasks(4))
+		c.run(2 * runTime)
+		poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
+		require.EqualValues(t, 4, poll.Acknowledged)
+		c.d.PollAnswered(c.clock.Now(), poll, orderer.Inventory{}, orderer.Unknown)
+		poll, _ = c.d.NextPoll(c.clock.Now(), "w-0")
+		require.Zero(t, poll.Acknowledged)
+	})
 	t.Run("a draining worker gets no new tasks", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.fleet.Update("w-0", func(w *fencer.Worker) { w.Info.Draining = true })
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -101,12 +101,14 @@
 
 // NextPoll returns the next poll of a worker's inventory. The poll extends the lease only if
 // the worker replied to the last one and has replied under the current fencing token before, so
-// that the leases of all other workers expire and their runs can be given up.
+// that the leases of all other workers expire and their runs can be given up. Likewise it acknowledges
+// results only then: a worker that did not reply may have restarted, and its results are numbered anew.
 func (s *Reconciler) NextPoll(w *monitor.Worker) orderer.Poll {
 	now := s.Now
-	poll := orderer.Poll{Worker: w.Info, Token: s.Options.Epoch, Acknowledged: w.Results.Acknowledged(), SentAt: now, Incarnation: w.Incarnation}
+	poll := orderer.Poll{Worker: w.Info, Token: s.Options.Epoch, SentAt: now, Incarnation: w.Incarnation}
 	w.PollSent()
 	if w.IsSynced && !w.HasFailedPoll {
+		poll.Acknowledged = w.Results.Acknowledged()
 		poll.Wait = s.Options.PollWait
 		poll.Deadline = w.Lease.Extend(now, s.Options.Lease)
 	}
