Show a job as cancelled only once the holder has persisted that it is

Cause: any host showed a job as cancelled as soon as it had read the cancellation. The holder may have completed the job by then and not have persisted that yet. Cancellations and progress are in different partitions, so the log does not order them.

Change: the holder decides: a job that is not over when it reads the cancellation gets the outcome "cancelled", which is persisted like the others; a cancellation of a job that is over changes nothing. Until then hosts show the job as queued or running.

--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -105,18 +105,18 @@
 		return
 	}
 	j, found := r.Jobs[entry.ID]
-	if !found && (entry.Cancelled || entry.Progress.Outcome != journaler.OutcomeNone) {
-		d.expirer.Ended(entry.ID, now)
-		return
-	}
 	if entry.Progress.Outcome != journaler.OutcomeNone {
+		if !found {
+			d.expirer.Ended(entry.ID, now)
+		}
 		return
 	}
 	if !found {
 		j = d.addJob(entry)
 	}
-	if entry.Cancelled && !j.Cancelled {
-		j.Cancelled = true
+	if entry.Cancelled && !j.IsOver() {
+		j.Outcome = journaler.OutcomeCancelled
+		r.Persister.MarkChanged(j)
 		d.reconciler.StopAll(j)
 	}
 }
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -40,6 +40,29 @@
 		require.Zero(t, c.fleet.Done())
 		require.Equal(t, describer.JobCancelled, c.stateOf("a"))
 	})
+	t.Run("a cancellation that comes before the end of a job is persisted, and one that comes after it changes nothing", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.submit("ended", describer.Queue{}, tasks(2))
+		c.submit("running", describer.Queue{}, tasks(2))
+		c.run(4 * tickInterval)
+		c.isStoreDown = true
+		c.cancel("running")
+		c.run(2 * runTime)
+		c.cancel("ended")
+		c.run(2 * tickInterval)
+		for _, id := range []describer.JobID{"ended", "running"} {
+			require.Equal(t, describer.JobRunning, c.stateOf(id), "%s: the holder's decision is not persisted yet", id)
+		}
+		c.isStoreDown = false
+		c.run(2 * tickInterval)
+		require.Equal(t, describer.JobCompleted, c.stateOf("ended"))
+		require.Equal(t, describer.JobCancelled, c.stateOf("running"))
+		c.claim()
+		c.run(2 * tickInterval)
+		require.Equal(t, describer.JobCompleted, c.stateOf("ended"))
+		require.Equal(t, describer.JobCancelled, c.stateOf("running"))
+		require.Empty(t, c.fleet.Running("w-0"))
+	})
 	t.Run("a job fails once a task has used all attempts of its queue", func(t *testing.T) {
 		c := newCell(t, 2)
 		for _, id := range []string{"w-0", "w-1"} {
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -129,6 +129,7 @@
 	OutcomeNone Outcome = iota
 	OutcomeCompleted
 	OutcomeFailed
+	OutcomeCancelled
 )
 
 // StepProgress is the persisted progress of a step of an occurrence.
@@ -259,14 +260,15 @@
 // of the job before that.
 func (e *Entry) HasProgress() bool { return e.progressOffset >= 0 }
 
-// JobState returns the state of the job as reported to callers.
+// JobState returns the state of the job as reported to callers. A cancellation alone is no final state: the
+// job may have completed before the holder reads it, and the holder persists which of the two came first.
 func (e *Entry) JobState() describer.JobState {
 	switch {
 	case e.Progress.Outcome == OutcomeCompleted:
 		return describer.JobCompleted
 	case e.Progress.Outcome == OutcomeFailed:
 		return describer.JobFailed
-	case e.Cancelled:
+	case e.Progress.Outcome == OutcomeCancelled:
 		return describer.JobCancelled
 	case e.Progress.Begun:
 		return describer.JobRunning
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -42,11 +42,10 @@
 	// Steps are those of the first occurrence, then those of the second, and so on.
 	Steps []*Step
 	// Runs are all runs that may be active, including those that are being stopped.
-	Runs      map[*Run]bool
-	Cancelled bool
-	Begun     bool
-	Outcome   journaler.Outcome
-	Reason    string
+	Runs    map[*Run]bool
+	Begun   bool
+	Outcome journaler.Outcome
+	Reason  string
 	// Objective is the time by which the job should end.
 	Objective time.Time
 	// FirstProgressBatch is the batch that must be durable before a task of the job starts; 0 if the
@@ -130,7 +129,7 @@
 func NewJob(entry *journaler.Entry) *Job {
 	j := &Job{
 		Spec: entry.Job, Queue: entry.Job.Queue, Offset: entry.JobOffset,
-		Runs: make(map[*Run]bool), Cancelled: entry.Cancelled, Begun: entry.Progress.Begun,
+		Runs: make(map[*Run]bool), Begun: entry.Progress.Begun,
 	}
 	for k := range entry.Job.Occurrences() {
 		for i := range entry.Job.Steps {
@@ -203,7 +202,7 @@
 }
 
 // IsOver reports whether no more tasks of the job are to be started.
-func (j *Job) IsOver() bool { return j.Cancelled || j.Outcome != journaler.OutcomeNone }
+func (j *Job) IsOver() bool { return j.Outcome != journaler.OutcomeNone }
 
 // IsDone reports whether all tasks are done.
 func (j *Job) IsDone() bool {
