Keep the time of the newest poll that a worker has answered

Callers would see: tasks that run twice at the same time (TWICE).

Cause: a draining worker that is missing from the host list has not left if it has answered a poll sent after its entry was missed. Several polls are in flight at once, and a worker delays its reply to most of them by up to a second. If the reply to an earlier poll arrived last, the time went back to that of the earlier poll. The next poll without a reply then counted as the worker's departure.

Evidence: found by reading. A draining worker answers two polls sent after its entry disappeared, then one sent before, then misses one: a.0.0.0 starts a second time while it runs. With this change, each task starts once.

Change: the time never goes back.

Test, red before: TestWorkers "a draining worker has not left either if the reply to an earlier poll arrives last".

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -459,6 +459,30 @@
 		c.requireStartedOnce()
 		c.requireInvariants()
 	})
+	t.Run("a draining worker has not left either if the reply to an earlier poll arrives last", func(t *testing.T) {
+		c := newCell(t, 2)
+		c.run(4 * tickInterval)
+		c.submit("a", describer.Queue{}, tasks(6))
+		c.run(2 * tickInterval)
+		require.NotEmpty(t, c.fleet.Running("w-0"))
+		c.fleet.Update("w-0", func(w *fencer.Worker) { w.Info.Draining = true })
+		c.run(2 * tickInterval)
+		// The worker delays its reply to this poll until its entry has disappeared.
+		early, _ := c.d.NextPoll(c.clock.Now(), "w-0")
+		early.Wait = 0
+		c.listed = c.fleet.Workers()[1:]
+		c.run(2 * tickInterval)
+		inventory, verdict := c.inventory(early)
+		require.Equal(t, orderer.Accepted, verdict)
+		c.d.PollAnswered(c.clock.Now(), early, inventory, verdict)
+		c.fleet.Update("w-0", func(w *fencer.Worker) { w.LosesReplies = true })
+		c.tick()
+		c.fleet.Update("w-0", func(w *fencer.Worker) { w.LosesReplies = false })
+		c.run(3 * runTime)
+		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+		c.requireStartedOnce()
+		c.requireInvariants()
+	})
 	t.Run("tasks of a draining worker start elsewhere at once when it leaves", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.run(4 * tickInterval)
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -68,7 +68,7 @@
 	// IsListed reports that the worker is in the host list.
 	IsListed bool
 	// UnlistedAt is since when the worker is missing from the host list; zero while it is listed.
-	// AnsweredPollAt is when the last poll that returned an inventory was sent.
+	// AnsweredPollAt is when the newest poll that returned an inventory was sent.
 	UnlistedAt     time.Time
 	AnsweredPollAt time.Time
 	// IsEnrolled reports that the newest persisted roster lists the worker as responsive.
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -66,7 +66,9 @@
 		w.Lease.ExpiresAt = wt.Now.Add(leaser.ExpiryOf(wt.Options.FormerLease))
 	}
 	w.HasFailedPoll, w.IsSynced, w.HasUnconfirmedStart, w.RepliedAt = false, true, false, wt.Now
-	w.AnsweredPollAt = poll.SentAt
+	if poll.SentAt.After(w.AnsweredPollAt) {
+		w.AnsweredPollAt = poll.SentAt
+	}
 	w.HasListedResults = w.HasListedResults || !inventory.MayOmitResults
 	w.ReplyClock = inventory.Clock
 	w.Lease.Sample(wt.Now, inventory.Clock)
