Don't resolve runs on a machine that a single list omits

Callers would see: tasks that last run twice at the same time (TWICE).

Cause: after a 200 to an order for upkeep, the runs on the machine's worker are resolved once a later list shows the machine without that worker. A machine that the list omits counted as such. Lists are read in pages and may omit a machine that exists, which is why a wave counts a machine as gone only after two lists. If the 200 confirms an earlier order, the worker is a new one whose runs go on.

Evidence: found by reading. Replies to orders are lost until the machine is back, then a 200 arrives, and the next list is empty: serves.0.0.0 starts again while it runs.

Change: the runs are resolved once a list shows the machine without the worker, or two lists in a row omit it.

Test, red before: TestUpkeep "a list that omits a machine after such a reply ends no run on its new worker".

--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -42,6 +42,8 @@
 	// machines are those of the workers; nil if the test needs none.
 	machines *fencer.Machines
 	ticks    int
+	// emptyLists is how many of the next lists of machines omit all of them.
+	emptyLists int
 	// options are the settings of the next holder.
 	options dispatcher.Options
 	// maxResults is how many results of ended runs a worker lists at a time; 0 lists all.
@@ -149,6 +151,10 @@
 	if c.ticks++; c.machines != nil && c.ticks%10 == 0 && c.d.NeedsMachines() {
 		machines, err := c.machines.List(context.Background())
 		require.NoError(c.t, err)
+		if c.emptyLists > 0 {
+			c.emptyLists--
+			machines = nil
+		}
 		c.d.SetMachines(c.clock.Now(), machines)
 	}
 	c.d.Tick(c.clock.Now())
--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -131,6 +131,25 @@
 		require.Contains(t, c.machines.Reports(), completed)
 		c.requireInvariants()
 	})
+	t.Run("a list that omits a machine after such a reply ends no run on its new worker", func(t *testing.T) {
+		c, wave := newWave(t, 2, 1)
+		longRunning := describer.Step{Count: 2, LongRunning: true, MaxUnavailable: 2, MaxPerWorker: 1, Need: describer.Resources{MilliCPU: 1000, MemoryMB: 10}}
+		c.submit("serves", describer.Queue{}, longRunning)
+		c.run(time.Second)
+		c.machines.LosesReplies = true
+		c.d.SetWave(c.clock.Now(), wave)
+		c.run(6 * time.Second)
+		require.Equal(t, 1, c.machines.Upkeeps(1))
+		c.machines.LosesReplies = false
+		for len(c.state.Waves[1].Done) == 0 {
+			c.run(tickInterval)
+		}
+		c.emptyLists = 1
+		c.run(20 * time.Second)
+		require.Zero(t, c.emptyLists)
+		require.Contains(t, c.machines.Reports(), completed)
+		c.requireInvariants()
+	})
 	t.Run("a task of the last machine starts elsewhere before its lease expires", func(t *testing.T) {
 		c, wave := newWave(t, 2, 1)
 		wave.Machines = wave.Machines[:1]
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -155,15 +155,17 @@
 	return isMissing && e.listedAt.After(since)
 }
 
-// resolveDepartures resolves the runs on the machines that a list shows without their last known worker.
+// resolveDepartures resolves the runs on the machines that a list shows without their last known worker, or
+// that no longer exist.
 func (e *Evacuator) resolveDepartures() {
 	for id, d := range e.departures {
-		if !e.listedAt.After(d.confirmedAt) {
+		machine, isListed := e.machines[id]
+		if !e.listedAt.After(d.confirmedAt) || !isListed && !e.isGone(id) {
 			continue
 		}
 		delete(e.departures, id)
 		worker, isKnown := e.Workers[d.worker]
-		isStillUp := e.machines[id].State == describer.MachineUp && e.machines[id].Worker == d.worker
+		isStillUp := machine.State == describer.MachineUp && machine.Worker == d.worker
 		if !isKnown || worker.Incarnation != d.incarnation {
 			continue
 		}
