Don't trust a peer of an older version that a job does not exist

Callers would see, while hosts are upgraded one after the other: 410 for an accepted job (LOST).

Cause: a host that can't read the log asks its peers. A peer of an older version still concludes from the age of its view that a job does not exist, and replies so under the same name and in the same form as a peer that has read the log for the question.

Evidence: found by reading. A peer that replies with IsNotFound as before is believed, though the next peer knows the job as running.

Change: a reply that a job does not exist counts only if it says that the peer has read the log to its end, which older versions never say. They ignore the field. Known states of older peers count as before.

Tests, red before: TestStatusFromPeers "a peer that has not read the log for the question can't tell that the job does not exist". TestPeerIsToldThatLogWasRead is new.

--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -66,6 +66,9 @@
 	IsNotFound bool `cbor:"2,keyasint,omitempty"`
 	// IsUnknown reports that the peer can't tell the job's state, or whether the job exists.
 	IsUnknown bool `cbor:"3,keyasint,omitempty"`
+	// HasReadLog reports that the peer has read the log to its end after the question arrived. Peers of an
+	// older version reply that a job does not exist without that.
+	HasReadLog bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Options configure a Forwarder.
@@ -241,14 +244,14 @@
 	return reply
 }
 
-// StatusFromPeers returns the reply of the first peer that knows about a job. The status is
-// unknown if none does.
+// StatusFromPeers returns the reply of the first peer that knows about a job, or that has read the log to
+// its end and found none. The status is unknown if none does.
 func (f *Forwarder) StatusFromPeers(ctx context.Context, id describer.JobID) StatusReply {
 	for _, peer := range f.peers() {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		reply, err := messenger.Call[describer.JobID, StatusReply](callCtx, f.options.Messenger, peer, statusKind, id)
 		cancel()
-		if err == nil && !reply.IsUnknown {
+		if err == nil && !reply.IsUnknown && (reply.HasReadLog || !reply.IsNotFound) {
 			return reply
 		}
 		if ctx.Err() != nil {
--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -157,6 +157,13 @@
 		reply := newForwarder(t, near.host, far.host).StatusFromPeers(t.Context(), "a")
 		require.Equal(t, far.reply, reply)
 	})
+	t.Run("a peer that has not read the log for the question can't tell that the job does not exist", func(t *testing.T) {
+		older, far := newPeer(t, "older", "brno"), newPeer(t, "far", "praha")
+		older.reply = forwarder.StatusReply{IsNotFound: true}
+		far.reply = forwarder.StatusReply{State: describer.JobRunning}
+		require.Equal(t, far.reply, newForwarder(t, older.host, far.host).StatusFromPeers(t.Context(), "a"))
+		require.True(t, newForwarder(t, older.host).StatusFromPeers(t.Context(), "a").IsUnknown)
+	})
 	t.Run("the state is unknown if there are no peers", func(t *testing.T) {
 		require.True(t, newForwarder(t).StatusFromPeers(t.Context(), "a").IsUnknown)
 	})
--- a/internal/entry/resolver/resolver.go
+++ b/internal/entry/resolver/resolver.go
@@ -119,7 +119,7 @@
 	}
 	reply := a.CachedStatus(id)
 	if reply.IsUnknown {
-		return forwarder.StatusReply{IsNotFound: true}
+		return forwarder.StatusReply{IsNotFound: true, HasReadLog: true}
 	}
 	return reply
 }
--- a/internal/entry/resolver/resolver_test.go
+++ b/internal/entry/resolver/resolver_test.go
@@ -86,3 +86,16 @@
 	require.NoError(t, err)
 	require.Equal(t, describer.JobQueued, state)
 }
+
+// TestPeerIsToldThatLogWasRead guards against peers that trust a host which has not read the log for their
+// question, or trust none.
+func TestPeerIsToldThatLogWasRead(t *testing.T) {
+	var refreshError error
+	a := resolver.New(resolver.Options{
+		View:    func(describer.JobID) resolver.View { return resolver.View{} },
+		Refresh: func(context.Context) error { return refreshError }, Clock: clockwork.NewFakeClock(),
+	})
+	require.Equal(t, forwarder.StatusReply{IsNotFound: true, HasReadLog: true}, a.LocalStatus(t.Context(), "a"))
+	refreshError = errors.New("test")
+	require.Equal(t, forwarder.StatusReply{IsUnknown: true}, a.LocalStatus(t.Context(), "a"))
+}
