--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -84,7 +84,7 @@
 mutant "fence: a failure is counted once" internal/fleet/tasker/tasker.go \
   '(*failures)[number] = true' '(*failures)[int64(len(*failures))+1000] = true' $dispatcher 'TestTakeover/a_failure'
 mutant "fence: tasks wait for workers that have not replied" internal/fleet/monitor/monitor.go \
-  'return !w.IsSynced && !w.IsUnresponsive && !w.Lease.HasExpired(now)' 'return false' $dispatcher 'TestTakeover/a_task_that_may'
+  'return isUnread && !w.Lease.HasExpired(now)' 'return false && isUnread' $dispatcher 'TestTakeover/a_task_that_may'
 mutant "fence: runs on unresponsive workers are persisted" internal/fleet/tasker/progress.go \
   't.Run != nil && isSilent(t.Run.Worker)' 'false' $dispatcher 'TestTakeover/a_new_holder_expects'
 mutant "fence: a start without a reply is stopped before a second start" internal/fleet/reconciler/order.go \
@@ -136,6 +136,23 @@
 mutant "fence: a holder whose appends fail is replaced soon" internal/entry/holder/holder.go \
   'case h.failingSince.IsZero():' 'case false:' internal/entry/coordinator 'TestHolderResetByStoreIsReplaced'
 mutant "fence: a takeover does not wait for a moment without new jobs" internal/entry/follower/catchup.go \
-  '!isNeeded || hasEnd && from >= end' '!isNeeded || hasEnd && from >= end && len(c.Topic.String()) == 0' internal/entry/coordinator 'TestTakeoverOfBusyCellByDistantHosts'
+  'if hasEnd && from >= end {' 'if hasEnd && from >= end && len(topic.String()) == 0 {' internal/entry/coordinator 'TestTakeoverOfBusyCellByDistantHosts'
+mutant "fence: a job is missing only from a log that was read after the question" internal/entry/resolver/resolver.go \
+  'if err := a.options.Refresh(ctx); err != nil {' 'if ctx == nil {' internal/entry/coordinator 'TestJobAcceptedDuringList|TestAcceptedJobExists'
+mutant "fence: a read that is under way does not answer a later question" internal/entry/refresher/refresher.go \
+  '	r.next = nil
+' '' internal/entry/refresher 'TestCallersWait'
+mutant "fence: a host reads on where its list is complete" internal/entry/tracker/tracker.go \
+  '*next = max(former, batch.Next)' '*next = max(former, batch.End)' internal/entry/coordinator 'TestJobBetweenPages'
+mutant "fence: a part of the log is no view" internal/entry/tracker/tracker.go \
+  'if batch.IsAtEnd() {
+		t.JobsAt = now' 'if true {
+		t.JobsAt = now' internal/entry/coordinator 'TestPendingIsUnknown'
+mutant "fence: a full list of results may omit some" internal/fleet/watcher/poll.go \
+  '!present[key] && !inventory.MayOmitResults' '!present[key]' $dispatcher 'TestWorkers/a_run_whose_result'
+mutant "fence: a late reply of a former incarnation counts for nothing" internal/fleet/watcher/poll.go \
+  'w.Incarnation != inventory.Incarnation && isBeforeIncarnation' 'false' $dispatcher 'TestWorkers/a_reply_of_a_former'
+mutant "fence: the holder decides whether a cancellation came first" internal/fleet/journaler/journaler.go \
+  'case e.Progress.Outcome == OutcomeCancelled:' 'case e.Cancelled:' $dispatcher 'TestJobs/a_cancellation'
 echo "mutants: $survived survived"
 [ "$survived" = 0 ]
