--- a/internal/entry/refresher/refresher_test.go
+++ b/internal/entry/refresher/refresher_test.go
@@ -18,9 +18,12 @@
 // which was under way when it called, and may have missed what the caller asks about.
 func TestCallersWaitForReadThatBeginsAfterTheirCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
 		var begun []time.Time
 		r := refresher.New(refresher.Options{Clock: clockwork.NewRealClock(), Read: func(context.Context) error {
+			mu.Lock()
 			begun = append(begun, time.Now())
+			mu.Unlock()
 			time.Sleep(50 * time.Millisecond)
 			return nil
 		}})
@@ -30,6 +33,8 @@
 			calls.Go(func() {
 				calledAt := time.Now()
 				require.NoError(t, r.Refresh(t.Context()))
+				mu.Lock()
+				defer mu.Unlock()
 				require.False(t, begun[len(begun)-1].Before(calledAt), "call %d", i)
 				require.LessOrEqual(t, time.Since(calledAt), 200*time.Millisecond, "call %d", i)
 			})
