Read the log before an operator's command finds no such job

Operators would see: a command to cancel a job that was just accepted is refused with "there is no such job", and "cancel where" passes over such jobs.

The command was executed on the host's present view, however old or incomplete, and the job was absent from it. Commands run on the holder, or on the host that was asked if the holder does not reply.

Evidence: found by reading. On a host that does not reach the holder, "cancel job-0" right after another host has accepted it is refused with that reason.

Change: a job that the view does not have is looked for again once the log was read to its end, and conditions are matched after such a read. If that read fails, the command is refused because it is not known whether the job exists, or which jobs match.

Test: TestOperatorCancelsJobThatWasJustAccepted, red before for the cancellation by ID; with only the read for conditions removed it fails too ("[]" does not contain "last").

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -214,7 +214,7 @@
 func (k *Coordinator) initOperators() {
 	k.delegator = delegator.New(delegator.Options{
 		Processor: processor.New(processor.Options{
-			WithView: k.read, Persist: k.router.Persist, Explain: k.recorder.Explain,
+			WithView: k.read, Refresh: k.refresh, Persist: k.router.Persist, Explain: k.recorder.Explain,
 			IsRefused: func(err error) bool { return errors.Is(err, storer.ErrRefused) },
 		}),
 		Messenger: k.options.Messenger, Holder: k.remoteHolder,
--- a/internal/entry/coordinator/missing_test.go
+++ b/internal/entry/coordinator/missing_test.go
@@ -11,6 +11,7 @@
 
 	"lentilrock.example/internal/entry/coordinator"
 	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/query/processor"
 )
 
 // TestJobAcceptedDuringListIsNotReportedAsMissing answers an incident on lfac-sched-grown. It guards
@@ -109,3 +110,36 @@
 		require.Equal(t, describer.JobCompleted, state)
 	})
 }
+
+// TestOperatorCancelsJobThatWasJustAccepted guards against a host that refuses an operator's command for a job
+// which its view does not have yet, with the reason that there is no such job.
+func TestOperatorCancelsJobThatWasJustAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		defer c.shutDown()
+		holder := c.holder()
+		c.network.disconnect(c.addresses[holder])
+		time.Sleep(2 * time.Second)
+		for i := range 6 {
+			id := describer.JobID(fmt.Sprintf("job-%d", i))
+			require.NoError(t, c.submit(holder, id, 1))
+			for host, k := range c.hosts {
+				if host == holder {
+					continue
+				}
+				reply := k.Execute(t.Context(), processor.Command{Text: "cancel " + string(id), Operator: "petra"})
+				require.Empty(t, reply.Error)
+				require.Len(t, reply.Outcomes, 1)
+				require.NotEqual(t, "there is no such job", reply.Outcomes[0].Reason, "host %d, job %d", host, i)
+			}
+			time.Sleep(time.Duration(130*i) * time.Millisecond)
+		}
+		other := c.hosts[(holder+1)%len(c.hosts)]
+		require.NoError(t, c.submit(holder, "last", 1))
+		reply := other.Execute(t.Context(), processor.Command{Text: "cancel where job = last", Operator: "petra"})
+		require.Empty(t, reply.Error)
+		require.Contains(t, fmt.Sprint(reply.Outcomes), "last", "the jobs that match include one that was just accepted")
+		reply = other.Execute(t.Context(), processor.Command{Text: "cancel none", Operator: "petra"})
+		require.Equal(t, "there is no such job", reply.Outcomes[0].Reason)
+	})
+}
--- a/internal/query/processor/processor.go
+++ b/internal/query/processor/processor.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	t := processor.New(processor.Options{WithView: read, Persist: persist, Explain: explain, IsRefused: isRefused})
+//	t := processor.New(processor.Options{WithView: read, Refresh: refresh, Persist: persist, Explain: explain, IsRefused: isRefused})
 //	reply := t.Execute(ctx, processor.Command{Text: "show jobs where state = running", Operator: "petra"})
 package processor
 
@@ -67,6 +67,8 @@
 type Options struct {
 	// WithView calls a function with the present state while the host's lock is held.
 	WithView func(read func(k CellView))
+	// Refresh returns nil once the view has all records that the log had when it was called.
+	Refresh func(ctx context.Context) error
 	// Persist appends a record to the log. An error that wraps storer.ErrRefused means that the record
 	// is not stored; after any other error it is unknown whether it is or will be stored.
 	Persist func(ctx context.Context, record journaler.Record) error
@@ -134,6 +136,9 @@
 func (t *Processor) cancel(ctx context.Context, c Command, s *parser.Cancel) (Reply, error) {
 	ids := []string{s.ID}
 	if s.ID == "" {
+		if err := t.options.Refresh(ctx); err != nil {
+			return Reply{}, errors.Wrap(err, "it is not known which jobs match")
+		}
 		table, err := t.show(&parser.Show{Noun: "jobs", Where: s.Where})
 		if err != nil {
 			return Reply{}, err
@@ -151,15 +156,13 @@
 }
 
 func (t *Processor) cancelJob(ctx context.Context, c Command, id describer.JobID) Outcome {
-	var state describer.JobState
-	isKnown := false
-	var now time.Time
-	t.options.WithView(func(k CellView) {
-		now = k.Now
-		if entry, found := k.State.Find(id); found {
-			isKnown, state = true, entry.JobState()
+	now, state, isKnown := t.find(id)
+	if !isKnown {
+		if err := t.options.Refresh(ctx); err != nil {
+			return Outcome{ID: string(id), State: stateRefused, Reason: "it is not known whether the job exists: " + err.Error()}
 		}
-	})
+		now, state, isKnown = t.find(id)
+	}
 	switch {
 	case !isKnown:
 		return Outcome{ID: string(id), State: stateRefused, Reason: "there is no such job"}
@@ -170,6 +173,17 @@
 	return t.persist(ctx, string(id), record, err)
 }
 
+// find returns the present time and the state of a job; false if the view does not have the job.
+func (t *Processor) find(id describer.JobID) (now time.Time, state describer.JobState, isKnown bool) {
+	t.options.WithView(func(k CellView) {
+		now = k.Now
+		if entry, found := k.State.Find(id); found {
+			state, isKnown = entry.JobState(), true
+		}
+	})
+	return now, state, isKnown
+}
+
 // drain starts the drain of a worker or rack, or ends it if isLifted is set. Only the holder can
 // check whether the worker or rack exists; other hosts accept any name, and so does the end of a drain.
 func (t *Processor) drain(ctx context.Context, c Command, s *parser.Drain, isLifted bool) (Reply, error) {
