Pause after a read that returns no records although the log has more

Found by the review: a store that replies so would be read without a pause, 2,000 reads in 10 s with a stub. Whether the platform's store ever does is not known. The pause is left out only while reads return records. TestFollowerPausesAfterReadWithoutRecords, red before. TestReadsResumeAfterSilentStore no longer has a data race of its own under -race; it requires the same.

--- a/internal/entry/follower/follower.go
+++ b/internal/entry/follower/follower.go
@@ -134,7 +134,8 @@
 		f.recordSuccess()
 		from = batch.Next
 		f.Apply(batch)
-		if wait := f.Pause(); wait > 0 && batch.IsAtEnd() {
+		hasMore := !batch.IsAtEnd() && len(batch.Entries) > 0
+		if wait := f.Pause(); wait > 0 && !hasMore {
 			f.Wake.Pause(ctx, f.Clock, wait)
 		}
 	}
--- a/internal/entry/follower/follower_test.go
+++ b/internal/entry/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,11 +19,12 @@
 // silentStore gets no replies until a time: calls that arrive before wait until their context ends.
 type silentStore struct {
 	storer.Store
-	until time.Time
+	// until is in nanoseconds since the Unix epoch.
+	until atomic.Int64
 }
 
 func (s *silentStore) reply(ctx context.Context, after time.Duration) error {
-	if time.Now().Before(s.until) {
+	if time.Now().UnixNano() < s.until.Load() {
 		<-ctx.Done()
 		return errors.Wrap(storer.ErrOutcomeUnknown, "test")
 	}
@@ -92,6 +94,40 @@
 	})
 }
 
+// withholdingStore says that its log has records, and returns none.
+type withholdingStore struct {
+	storer.Store
+	reads atomic.Int64
+}
+
+func (s *withholdingStore) Read(_ context.Context, _ storer.Topic, from int64, _ time.Duration) (storer.Batch, error) {
+	s.reads.Add(1)
+	time.Sleep(5 * time.Millisecond)
+	return storer.Batch{Next: from, End: from + 1}, nil
+}
+
+func (s *withholdingStore) Newest(context.Context, storer.Topic, string) (storer.Page, error) {
+	return storer.Page{}, nil
+}
+
+// TestFollowerPausesAfterReadWithoutRecords guards against a host that reads without a pause from a store
+// that returns no records although its log has more.
+func TestFollowerPausesAfterReadWithoutRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &withholdingStore{}
+		f := follower.Follower{
+			Store: s, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Topic: storer.Claims, Reset: func(storer.Batch) {},
+			Apply: func(storer.Batch) {}, Pause: func() time.Duration { return 200 * time.Millisecond },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		require.LessOrEqual(t, s.reads.Load(), int64(50))
+		time.Sleep(2 * time.Second)
+	})
+}
+
 // TestReadsResumeAfterSilentStore answers the pattern of a store that gets silent for seconds. It
 // guards against a host that waits for the time limit of a read that was sent during the outage, so
 // that nobody takes over, and nothing is accepted, for seconds after the store is back.
@@ -106,10 +142,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &silentStore{}
 				if test.silence == 0 {
-					s.until = time.Now().Add(7 * time.Second)
+					s.until.Store(time.Now().Add(7 * time.Second).UnixNano())
 				}
-				var appliedAt time.Time
-				apply := func(storer.Batch) { appliedAt = time.Now() }
+				var appliedAt atomic.Int64
+				apply := func(storer.Batch) { appliedAt.Store(time.Now().UnixNano()) }
 				f := follower.Follower{
 					Store: s, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Topic: storer.Claims, Reset: apply, Apply: apply,
 					Pause: func() time.Duration { return 600 * time.Millisecond },
@@ -119,13 +155,13 @@
 				go f.Run(ctx)
 				if test.silence > 0 {
 					time.Sleep(3 * time.Second)
-					s.until = time.Now().Add(test.silence)
+					s.until.Store(time.Now().Add(test.silence).UnixNano())
 				}
-				time.Sleep(time.Until(s.until))
+				time.Sleep(time.Until(time.Unix(0, s.until.Load())))
 				// A read waits up to follower.ReadWait for records. Another second is the time limit for the
 				// hosts to notice that the store is back.
 				time.Sleep(follower.ReadWait + time.Second)
-				require.True(t, appliedAt.After(s.until), "the topic was not read within a second")
+				require.Greater(t, appliedAt.Load(), s.until.Load(), "the topic was not read within a second")
 				cancel()
 				time.Sleep(5 * time.Second)
 			})
