Let a caller wait for one refresh of the view at most

Found by the review: a caller that came while a read without a reply was under way waited for that one, a pause and a read of its own, up to 1.8 s in the test, of the 2.5 s that it may have. No time was left to ask peers. It waits for a second now. TestCallerWaitsForOneReadAtMost, red before.

--- a/internal/entry/refresher/refresher.go
+++ b/internal/entry/refresher/refresher.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// readTimeout bounds a read, which callers wait for. A store that is a hundred times slower than
+	// readTimeout bounds a read, and how long a caller waits. A store that is a hundred times slower than
 	// usual still replies within it.
 	readTimeout = time.Second
 	// pause separates the reads, so that many questions do not use up the reads that the store allows.
@@ -52,8 +52,10 @@
 // New returns a Refresher.
 func New(options Options) *Refresher { return &Refresher{options: options} }
 
-// Refresh returns nil once a read that began after the call has succeeded.
+// Refresh returns nil once a read that began after the call has succeeded. It waits for readTimeout at most.
 func (r *Refresher) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	next := r.join()
 	select {
 	case <-next.done:
--- a/internal/entry/refresher/refresher_test.go
+++ b/internal/entry/refresher/refresher_test.go
@@ -45,6 +45,28 @@
 	})
 }
 
+// TestCallerWaitsForOneReadAtMost guards against a caller that waits for a read under way that fails, and
+// then for one of its own, so that no time is left to ask other hosts.
+func TestCallerWaitsForOneReadAtMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := refresher.New(refresher.Options{Clock: clockwork.NewRealClock(), Read: func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}})
+		var calls sync.WaitGroup
+		for range 5 {
+			calls.Go(func() {
+				calledAt := time.Now()
+				require.ErrorIs(t, r.Refresh(t.Context()), context.DeadlineExceeded)
+				require.LessOrEqual(t, time.Since(calledAt), time.Second)
+			})
+			time.Sleep(300 * time.Millisecond)
+		}
+		calls.Wait()
+		time.Sleep(3 * time.Second)
+	})
+}
+
 // TestFailedOrLateReadIsAnError guards against callers for whom a read that failed, or that they did not wait
 // for, counts as one that found nothing.
 func TestFailedOrLateReadIsAnError(t *testing.T) {
