Let the cancellation in a test of pacing be decided before the takeover

The mutant "a new holder lifts the speed limit of a former one" survived: since cancellations are decided by the holder, the new holder in the test still knew the cancelled job, and lifted the limit for that reason alone. The former holder persists its decision first now, which is the situation that the test meant; the mutant is killed again.

--- a/internal/fleet/dispatcher/sharing_test.go
+++ b/internal/fleet/dispatcher/sharing_test.go
@@ -105,6 +105,7 @@
 		c := newSharedWorker(t, 120)
 		c.run(3 * time.Second)
 		c.cancel("serves")
+		c.save()
 		c.claim()
 		c.run(time.Second)
 		require.Equal(t, 100, c.fleet.Percent("w-0", "fills.0.0.0"))
