--- a/review/driver/proxy.go
+++ b/review/driver/proxy.go
@@ -107,12 +107,14 @@
 		var inventory struct {
 			Ended [][]any `json:"ended"`
 		}
-		if json.Unmarshal(reply, &inventory) == nil && len(inventory.Ended) > 0 {
+		if !p.world.isTerse && json.Unmarshal(reply, &inventory) == nil && len(inventory.Ended) > 0 {
 			p.world.note("%s: lists ends %v", p.id, inventory.Ended)
 		}
 		return
 	}
-	p.world.note("%s: %s %s: %d %s", p.id, path, body, status, bytes.TrimSpace(reply))
+	if !p.world.isTerse {
+		p.world.note("%s: %s %s: %d %s", p.id, path, body, status, bytes.TrimSpace(reply))
+	}
 	var order struct {
 		Task string `json:"task"`
 		Run  int64  `json:"run"`
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -49,6 +49,8 @@
 	proxies         map[string]*workerProxy
 	dir             string
 	startedAt       time.Time
+	// isTerse keeps the orders to workers out of the record.
+	isTerse bool
 
 	mu     sync.Mutex
 	record *os.File
