--- a/review/driver/stale.go
+++ b/review/driver/stale.go
@@ -25,7 +25,7 @@
 	// them orders may keep from working at a time.
 	task           string
 	count, mayMiss int
-	// begun receives the machine of each upkeep that begins.
+	// begun receives the name of the holder whose order begins an upkeep.
 	begun chan string
 
 	mu sync.Mutex
@@ -111,7 +111,7 @@
 		}
 		p.ended[task] = true
 	}
-	p.begun <- order.Machine
+	p.begun <- r.Header.Get("Duty-Holder")
 }
 
 // freezeTime is the longest freeze of a machine in the site files.
@@ -147,16 +147,17 @@
 			time.Sleep(4 * time.Second)
 			w.note("operator: a wave takes the machines of both large workers, two at a time at the most")
 			w.platform.SetWave(1, []byte(`{"wave":1,"machines":["m-w-001","m-w-002"],"duration-s":30,"max-count":2}`))
+			holder := ""
 			select {
-			case <-p.begun:
+			case holder = <-p.begun:
 			case <-time.After(20 * time.Second):
 				return fmt.Errorf("no upkeep began")
 			}
 			if hasTrouble {
 				time.Sleep(50 * time.Millisecond)
-				h := w.holder()
+				h := w.hostNamed(holder)
 				if h == nil {
-					return fmt.Errorf("no holder")
+					return fmt.Errorf("no host %s", holder)
 				}
 				h.signal(syscall.SIGSTOP)
 				time.Sleep(freezeTime)
--- a/review/driver/world.go
+++ b/review/driver/world.go
@@ -332,7 +332,7 @@
 
 // isHolder reports whether the metrics of the host say that it holds the cell.
 func (h *host) isHolder() bool {
-	client := http.Client{Timeout: 300 * time.Millisecond}
+	client := http.Client{Timeout: time.Second}
 	response, err := client.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", h.base+3))
 	if err != nil {
 		return false
@@ -352,6 +352,16 @@
 	return nil
 }
 
+// hostNamed returns the host with a name, or nil.
+func (w *world) hostNamed(name string) *host {
+	for _, h := range w.hosts {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
 // call sends a client's request to a host and returns the status, 0 without a reply, and the body.
 func (w *world) call(h *host, method, path string, body any) (int, string) {
 	data := []byte(nil)
