Keep only the steps and tasks that have a state of their own

What callers saw: a host that is over its memory is killed, and so is each one that holds the cell after it.

Cause: each task and each step of each occurrence of a job was a struct from the moment the job was read, 152 bytes a task and 400 a scheduled one, and rounds of the dispatcher went through them.

Change: package tallier has a bit for each task and step that is done. A step or task is kept while it has a state, such as a run, a failure or a checkpoint; the others are made when they are asked for. The search for ready steps looks at a bounded number of steps and dependencies of a job in each round (rotator.Search). The table of tasks has at most 10,000 rows.

Tests of progress and ready steps ask for steps and tasks by number now; what they require is unchanged, and TestProgress compares the remaining work, too.

--- a/internal/container/marker/marker.go
+++ b/internal/container/marker/marker.go
@@ -1,11 +1,13 @@
-// Package marker encodes a set of numbers below a bound compactly. The encoding takes at most one bit a
+// Package marker holds sets of numbers and encodes them compactly. The encoding takes at most one bit a
 // number and two bytes, and a few bytes if the numbers are in few runs.
 //
 // # Usage
 //
-//	data := marker.Encode(len(tasks), func(i int) bool { return tasks[i].Done })
+//	var done marker.Set
+//	done.Add(task)
+//	data := done.Encode(len(tasks))
 //	for i := range marker.Decode(data, len(tasks)) {
-//		tasks[i].Done = true
+//		done.Add(i)
 //	}
 package marker
 
@@ -24,31 +26,30 @@
 )
 
 // Encode returns the encoding of the numbers below bound that are in the set.
-func Encode(bound int, isIn func(number int) bool) []byte {
+func (s *Set) Encode(bound int) []byte {
+	maxSize := 1 + (bound+7)/8
 	runs := []byte{formRuns}
-	bits := make([]byte, 1+(bound+7)/8)
-	bits[0] = formBits
-	length, isInside := 0, false
-	for i := range bound {
-		isNext := isIn(i)
-		if isNext {
-			bits[1+i/8] |= 1 << (i % 8)
+	for end := 0; end < bound; {
+		begin, found := s.nextMember(end)
+		if !found || begin >= bound {
+			break
 		}
-		if isNext != isInside {
-			if len(runs) <= len(bits) {
-				runs = binary.AppendUvarint(runs, uint64(length))
-			}
-			length, isInside = 0, isNext
+		runs = binary.AppendUvarint(runs, uint64(begin-end))
+		end = min(s.NextMissing(begin), bound)
+		if runs = binary.AppendUvarint(runs, uint64(end-begin)); len(runs) > maxSize {
+			return s.encodeBits(bound)
 		}
-		length++
-	}
-	if isInside && len(runs) <= len(bits) {
-		runs = binary.AppendUvarint(runs, uint64(length))
 	}
-	if len(runs) <= len(bits) {
-		return runs
+	return runs
+}
+
+// encodeBits returns the encoding with a bit for each number below bound.
+func (s *Set) encodeBits(bound int) []byte {
+	data := []byte{formBits}
+	for _, word := range s.words[:min((bound+wordBits-1)/wordBits, len(s.words))] {
+		data = binary.LittleEndian.AppendUint64(data, word)
 	}
-	return bits
+	return data[:min(len(data), 1+(bound+7)/8)]
 }
 
 // Decode returns the numbers below bound that are in an encoded set, in ascending order. It ends early at
--- a/internal/container/marker/marker_test.go
+++ b/internal/container/marker/marker_test.go
@@ -11,6 +11,17 @@
 	"lentilrock.example/internal/container/marker"
 )
 
+// setOf returns the numbers below bound that isIn accepts.
+func setOf(bound int, isIn func(int) bool) *marker.Set {
+	var s marker.Set
+	for i := range bound {
+		if isIn(i) {
+			s.Add(i)
+		}
+	}
+	return &s
+}
+
 // TestEncode guards against numbers that are lost or added by the encoding, and against encodings that are
 // larger than promised.
 func TestEncode(t *testing.T) {
@@ -27,7 +38,7 @@
 		{"no numbers at all", 0, nil, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			data := marker.Encode(test.bound, test.isIn)
+			data := setOf(test.bound, test.isIn).Encode(test.bound)
 			require.LessOrEqual(t, len(data), test.size)
 			var want []int
 			for i := range test.bound {
@@ -41,7 +52,7 @@
 	t.Run("any set", func(t *testing.T) {
 		rapid.Check(t, func(t *rapid.T) {
 			in := rapid.SliceOfN(rapid.Bool(), 0, 300).Draw(t, "in")
-			data := marker.Encode(len(in), func(i int) bool { return in[i] })
+			data := setOf(len(in), func(i int) bool { return in[i] }).Encode(len(in))
 			require.LessOrEqual(t, len(data), 2+(len(in)+7)/8)
 			decoded := make([]bool, len(in))
 			for i := range marker.Decode(data, len(in)) {
@@ -71,3 +82,27 @@
 		}
 	}
 }
+
+// TestSet guards against sets that differ from the numbers that were added, at the borders of their words, too.
+func TestSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := rapid.SliceOfN(rapid.Bool(), 0, 300).Draw(t, "in")
+		s := setOf(len(in), func(i int) bool { return in[i] })
+		begin := rapid.IntRange(0, len(in)).Draw(t, "begin")
+		end := rapid.IntRange(begin, len(in)+100).Draw(t, "end")
+		count, missing := 0, -1
+		for i := begin; i < end; i++ {
+			isIn := i < len(in) && in[i]
+			require.Equal(t, isIn, s.Has(i))
+			if isIn {
+				count++
+			} else if missing < 0 {
+				missing = i
+			}
+		}
+		require.Equal(t, count, s.Count(begin, end))
+		if missing >= 0 {
+			require.Equal(t, missing, s.NextMissing(begin))
+		}
+	})
+}
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -229,6 +229,22 @@
 	return j.StartAt.Add(time.Duration(occurrence) * j.Interval)
 }
 
+// CriticalPath returns the length of the longest chain of steps of an occurrence that depend on each other. The
+// function returns the length of a step.
+func (j *Job) CriticalPath(length func(index int) time.Duration) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		begin := time.Duration(0)
+		for _, d := range j.Steps[i].After {
+			begin = max(begin, ends[d])
+		}
+		ends[i] = begin + length(i)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // JobState is the state of a job as reported to callers.
 type JobState uint8
 
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -110,10 +110,7 @@
 		return
 	}
 	candidates := p.candidates(s)
-	for _, t := range s.Tasks {
-		if !t.IsWaiting(p.Now) {
-			continue
-		}
+	for t := range s.Waiting(p.Now) {
 		if p.started[s.Job] >= maxStartsPerJob {
 			return
 		}
@@ -139,7 +136,8 @@
 	var plan selector.Plan
 	number := int64(0)
 	candidates := p.candidates(s)
-	for _, t := range s.Tasks {
+	for index := range s.Spec.Count {
+		t := s.Task(index)
 		if !t.IsWaiting(p.Now) {
 			return
 		}
@@ -205,6 +203,10 @@
 		return
 	}
 	s := j.Step(request.Step.Occurrence, request.Step.Step)
+	if s == nil || s.RemainingTasks == 0 {
+		return
+	}
+	s.Keep()
 	if !isAnswered {
 		s.Advice.QueryFailed(now)
 		return
--- a/internal/fleet/placer/reserve.go
+++ b/internal/fleet/placer/reserve.go
@@ -18,6 +18,7 @@
 	s := t.Step
 	if t.UnplacedSince.IsZero() {
 		t.UnplacedSince = p.Now
+		t.Keep()
 		return
 	}
 	if selector.HasReservation(s, p.Ordered, p.Now) {
--- a/internal/fleet/placer/speculative.go
+++ b/internal/fleet/placer/speculative.go
@@ -14,7 +14,7 @@
 func (p *Placer) placeCopies() {
 	for _, s := range tasker.SpeculativeSteps(p.Jobs, p.Now) {
 		candidates := p.candidates(s)
-		for _, t := range s.Tasks {
+		for _, t := range s.KeptTasks() {
 			if !p.isWorthCopying(t) {
 				continue
 			}
--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -157,7 +157,7 @@
 	if !step.Spec.Gang || step.RemainingTasks == 0 {
 		return
 	}
-	for _, member := range step.Tasks {
+	for _, member := range step.KeptTasks() {
 		if member.Run != nil && member.Run.Number == lost.Number {
 			s.Stop(member.Run)
 		}
--- a/internal/fleet/requester/requester.go
+++ b/internal/fleet/requester/requester.go
@@ -61,6 +61,7 @@
 	}
 	queried := s.Advice.Choose(candidates, q.shares.QuerySize(s.Job.Queue.Name, s.WaitingTasks(now)))
 	s.Advice.QuerySent(now)
+	s.Keep()
 	q.pending++
 	return orderer.AdviceRequest{Step: s.Ref(), Workers: queried, Terms: terms}, true
 }
--- /dev/null
+++ b/internal/fleet/tallier/tallier.go
@@ -0,0 +1,167 @@
+// Package tallier numbers the steps and tasks of a job and tracks which of them are done, with a bit for each.
+// The steps of the first occurrence come first, then those of the second, and so on; so do their tasks.
+//
+// # Usage
+//
+//	tally := tallier.New(job)
+//	isNew := tally.FinishTask(step, index)
+//	for step := tally.NextOpenStep(0); step < tally.StepCount(); step = tally.NextOpenStep(step + 1) {
+//		isUnblocked, _ := tally.IsUnblocked(step)
+//		...
+//	}
+package tallier
+
+import (
+	"time"
+
+	"lentilrock.example/internal/container/marker"
+	"lentilrock.example/internal/fleet/describer"
+)
+
+// Tally has the steps and tasks of a job that are done.
+type Tally struct {
+	job       *describer.Job
+	doneTasks marker.Set
+	doneSteps marker.Set
+	// firstTasks has the number of the first task of each step of the first occurrence, and at the end the
+	// number of tasks of an occurrence.
+	firstTasks []int
+	// remaining has the number of tasks that are not done, by index of the step, over all occurrences.
+	remaining []int
+	openSteps int
+	path      cachedPath
+}
+
+// cachedPath is the length of a critical path, with what it was computed from.
+type cachedPath struct {
+	length    time.Duration
+	decide    time.Duration
+	openSteps int
+	isKnown   bool
+}
+
+// New returns the tally of a job of which nothing is done.
+func New(job *describer.Job) *Tally {
+	t := &Tally{job: job, firstTasks: []int{0}, openSteps: len(job.Steps) * job.Occurrences()}
+	tasks := 0
+	for i := range job.Steps {
+		tasks += job.Steps[i].Count
+		t.firstTasks = append(t.firstTasks, tasks)
+		t.remaining = append(t.remaining, job.Steps[i].Count*job.Occurrences())
+	}
+	return t
+}
+
+// StepCount returns the number of steps of all occurrences.
+func (t *Tally) StepCount() int { return len(t.job.Steps) * t.job.Occurrences() }
+
+// TaskCount returns the number of tasks of all occurrences.
+func (t *Tally) TaskCount() int { return t.firstTasks[len(t.job.Steps)] * t.job.Occurrences() }
+
+// firstTask returns the number of the first task of a step.
+func (t *Tally) firstTask(step int) int {
+	steps := len(t.job.Steps)
+	return step/steps*t.firstTasks[steps] + t.firstTasks[step%steps]
+}
+
+// IsTaskDone reports whether the task with an index of a step is done.
+func (t *Tally) IsTaskDone(step, index int) bool { return t.doneTasks.Has(t.firstTask(step) + index) }
+
+// IsStepDone reports whether all tasks of a step are done.
+func (t *Tally) IsStepDone(step int) bool { return t.doneSteps.Has(step) }
+
+// IsDone reports whether all tasks are done.
+func (t *Tally) IsDone() bool { return t.openSteps == 0 }
+
+// NextOpenTask returns the index of the first task of a step from index on that is not done, or the number of
+// tasks of the step if there is none.
+func (t *Tally) NextOpenTask(step, index int) int {
+	first := t.firstTask(step)
+	return min(t.doneTasks.NextMissing(first+index)-first, t.job.Steps[step%len(t.job.Steps)].Count)
+}
+
+// NextOpenStep returns the first step from the given one on that is not done, or a number from StepCount on if
+// there is none.
+func (t *Tally) NextOpenStep(step int) int { return t.doneSteps.NextMissing(step) }
+
+// RemainingTasks returns the number of tasks of a step that are not done.
+func (t *Tally) RemainingTasks(step int) int {
+	if t.doneSteps.Has(step) {
+		return 0
+	}
+	first, count := t.firstTask(step), t.job.Steps[step%len(t.job.Steps)].Count
+	return count - t.doneTasks.Count(first, first+count)
+}
+
+// FinishTask records that a task is done. It returns false if it was done before.
+func (t *Tally) FinishTask(step, index int) bool {
+	number := t.firstTask(step) + index
+	if t.doneTasks.Has(number) {
+		return false
+	}
+	t.doneTasks.Add(number)
+	t.remaining[step%len(t.job.Steps)]--
+	return true
+}
+
+// FinishStep records that all tasks of a step are done.
+func (t *Tally) FinishStep(step int) {
+	t.doneSteps.Add(step)
+	t.openSteps--
+}
+
+// IsUnblocked reports whether all steps are done that a step depends on, and how many of these it looked at.
+func (t *Tally) IsUnblocked(step int) (isUnblocked bool, scanned int) {
+	index := step % len(t.job.Steps)
+	after := t.job.Steps[index].After
+	for i, d := range after {
+		if !t.doneSteps.Has(step - index + d) {
+			return false, i + 1
+		}
+	}
+	return true, len(after)
+}
+
+// CriticalPath returns the length of the critical path of the remaining steps of the first occurrence: the
+// longest chain of estimated durations, each with the time that advice about a step takes.
+func (t *Tally) CriticalPath(decide time.Duration) time.Duration {
+	if t.path.isKnown && t.path.openSteps == t.openSteps && t.path.decide == decide {
+		return t.path.length
+	}
+	length := t.job.CriticalPath(func(index int) time.Duration {
+		if t.doneSteps.Has(index) {
+			return 0
+		}
+		return t.job.Steps[index].Estimate + decide
+	})
+	t.path = cachedPath{length: length, decide: decide, openSteps: t.openSteps, isKnown: true}
+	return length
+}
+
+// Work returns the estimated processor time of the remaining tasks, in core seconds.
+func (t *Tally) Work() float64 {
+	sum := 0.0
+	for i, remaining := range t.remaining {
+		spec := &t.job.Steps[i]
+		sum += float64(remaining) * spec.Estimate.Seconds() * float64(spec.Need.MilliCPU) / 1000
+	}
+	return sum
+}
+
+// Encode returns the tasks that are done in the encoding of package marker.
+func (t *Tally) Encode() []byte { return t.doneTasks.Encode(t.TaskCount()) }
+
+// Restore adds the tasks of an encoding to those that are done. No step must be done yet.
+func (t *Tally) Restore(data []byte) {
+	for task := range marker.Decode(data, t.TaskCount()) {
+		t.doneTasks.Add(task)
+	}
+	for step := range t.StepCount() {
+		index := step % len(t.job.Steps)
+		remaining := t.RemainingTasks(step)
+		t.remaining[index] -= t.job.Steps[index].Count - remaining
+		if remaining == 0 {
+			t.FinishStep(step)
+		}
+	}
+}
--- a/internal/fleet/tasker/progress.go
+++ b/internal/fleet/tasker/progress.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"lentilrock.example/internal/container/marker"
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/fleet/journaler"
 )
 
@@ -21,54 +21,30 @@
 	if j.IsOver() {
 		return p
 	}
-	isLarge := len(j.Steps) > maxListedSteps || j.countTasks() > maxListedTasks
-	if isLarge {
-		p.Done = j.encodeDone()
-	}
-	for _, s := range j.Steps {
-		if isLarge && s.RemainingTasks == 0 {
-			continue
+	if j.tally.StepCount() > maxListedSteps || j.tally.TaskCount() > maxListedTasks {
+		p.Done = j.tally.Encode()
+		for _, number := range sorter.Keys(j.steps) {
+			if stored := j.steps[number].progress(isSilent); stored.HasContent() {
+				p.Steps = append(p.Steps, stored)
+			}
 		}
-		if stored := s.progress(isSilent, !isLarge); stored.HasContent() {
+		return p
+	}
+	for number := range j.tally.StepCount() {
+		s := j.step(number)
+		stored := s.progress(isSilent)
+		stored.Done = s.listDone()
+		if stored.HasContent() {
 			p.Steps = append(p.Steps, stored)
 		}
 	}
 	return p
 }
 
-// countTasks returns the number of tasks of all occurrences.
-func (j *Job) countTasks() int {
-	count := 0
-	for i := range j.Spec.Steps {
-		count += j.Spec.Steps[i].Count
-	}
-	return count * j.Spec.Occurrences()
-}
-
-// allTasks returns the tasks of all occurrences in the order in which Progress numbers them.
-func (j *Job) allTasks() []*Task {
-	if j.tasks == nil {
-		j.tasks = make([]*Task, 0, j.countTasks())
-		for _, s := range j.Steps {
-			j.tasks = append(j.tasks, s.Tasks...)
-		}
-	}
-	return j.tasks
-}
-
-// encodeDone returns the tasks that are done.
-func (j *Job) encodeDone() []byte {
-	tasks := j.allTasks()
-	return marker.Encode(len(tasks), func(i int) bool { return tasks[i].Done })
-}
-
 // restore applies the persisted progress of a job.
 func (j *Job) restore(p journaler.Progress) {
 	if len(p.Done) > 0 {
-		tasks := j.allTasks()
-		for i := range marker.Decode(p.Done, len(tasks)) {
-			tasks[i].finish()
-		}
+		j.tally.Restore(p.Done)
 	}
 	for _, stored := range p.Steps {
 		if s := j.Step(stored.Occurrence, stored.Step); s != nil {
@@ -77,25 +53,33 @@
 	}
 }
 
-// progress returns the progress of a step. It lists the tasks that are done only if listsDone is set.
-func (s *Step) progress(isSilent func(worker string) bool, listsDone bool) journaler.StepProgress {
+// progress returns the progress of a step, without the tasks that are done.
+func (s *Step) progress(isSilent func(worker string) bool) journaler.StepProgress {
 	p := journaler.StepProgress{Occurrence: s.Occurrence, Step: s.Index}
 	addFailures(&p, 0, s.gangFailures)
-	for i, t := range s.Tasks {
+	for _, t := range s.KeptTasks() {
 		if t.Done {
-			if listsDone {
-				p.Done = appendIndex(p.Done, i)
-			}
 			continue
 		}
-		addFailures(&p, i, t.failures)
+		addFailures(&p, t.Index, t.failures)
 		if t.Run != nil && isSilent(t.Run.Worker) {
-			p.Unresponsive = append(p.Unresponsive, journaler.UnresponsiveRun{Worker: t.Run.Worker, Index: i, Run: t.Run.Number})
+			p.Unresponsive = append(p.Unresponsive, journaler.UnresponsiveRun{Worker: t.Run.Worker, Index: t.Index, Run: t.Run.Number})
 		}
 	}
 	return p
 }
 
+// listDone returns the tasks that are done, as ranges.
+func (s *Step) listDone() []int {
+	var done []int
+	for index := range s.Spec.Count {
+		if s.Job.tally.IsTaskDone(s.number(), index) {
+			done = appendIndex(done, index)
+		}
+	}
+	return done
+}
+
 // appendIndex adds an index to a list of ranges, each a pair of first and last index. Indexes are
 // added in ascending order.
 func appendIndex(ranges []int, index int) []int {
@@ -119,19 +103,25 @@
 	slices.Sort(p.Failed[index])
 }
 
-// restore applies the persisted progress of a step.
+// restore applies the persisted progress of a step. Ranges are in ascending order; one that is not, which no
+// host has written, is passed over from the former one's end on.
 func (s *Step) restore(p journaler.StepProgress) {
+	next := 0
 	for i := 0; i+1 < len(p.Done); i += 2 {
-		for index := max(p.Done[i], 0); index <= p.Done[i+1] && index < len(s.Tasks); index++ {
-			s.Tasks[index].finish()
+		for next = max(p.Done[i], next); next <= p.Done[i+1] && next < s.Spec.Count; next++ {
+			s.Task(next).finish()
 		}
 	}
 	for index, runs := range p.Failed {
-		if index < 0 || index >= len(s.Tasks) {
+		if index < 0 || index >= s.Spec.Count || s.RemainingTasks == 0 {
 			continue
 		}
+		t := s.Task(index)
 		for _, number := range runs {
-			s.Tasks[index].countFailure(number)
+			t.countFailure(number)
+		}
+		if !t.Done {
+			t.Keep()
 		}
 	}
 }
--- a/internal/fleet/tasker/progress_test.go
+++ b/internal/fleet/tasker/progress_test.go
@@ -14,6 +14,17 @@
 // maxRecord is the size of the largest record that the store accepts.
 const maxRecord = 262_144
 
+// stepsOf returns the steps of all occurrences of a job.
+func stepsOf(j *tasker.Job) []*tasker.Step {
+	var steps []*tasker.Step
+	for k := range j.Spec.Occurrences() {
+		for i := range j.Spec.Steps {
+			steps = append(steps, j.Step(k, i))
+		}
+	}
+	return steps
+}
+
 // persist returns the progress of a job as a later holder reads it, and the size of its record.
 func persist(t *testing.T, j *tasker.Job, isSilent bool) (journaler.Progress, int) {
 	state := journaler.New()
@@ -43,10 +54,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			j := tasker.NewJob(&journaler.Entry{Job: &test.job})
 			i := 0
-			for _, s := range j.Steps {
-				for _, task := range s.Tasks {
+			for _, s := range stepsOf(j) {
+				for index := range s.Spec.Count {
 					if test.isDone(i) {
-						task.Finish()
+						s.Task(index).Finish()
 					}
 					i++
 				}
@@ -54,12 +65,15 @@
 			progress, size := persist(t, j, false)
 			require.LessOrEqual(t, size, maxRecord)
 			restored := tasker.NewJob(&journaler.Entry{Job: &test.job, Progress: progress})
-			for k, s := range j.Steps {
-				require.Equal(t, s.RemainingTasks, restored.Steps[k].RemainingTasks)
-				for n, task := range s.Tasks {
-					require.Equal(t, task.Done, restored.Steps[k].Tasks[n].Done)
+			restoredSteps := stepsOf(restored)
+			for k, s := range stepsOf(j) {
+				require.Equal(t, s.RemainingTasks, restoredSteps[k].RemainingTasks)
+				for n := range s.Spec.Count {
+					require.Equal(t, s.Task(n).Done, restoredSteps[k].Task(n).Done)
 				}
 			}
+			require.Equal(t, j.IsDone(), restored.IsDone())
+			require.InDelta(t, j.Work(), restored.Work(), 0)
 		})
 	}
 }
@@ -71,7 +85,8 @@
 	job := describer.Job{Steps: []describer.Step{{Count: count}}}
 	t.Run("runs on unresponsive workers that do not fit are known to be missing", func(t *testing.T) {
 		j := tasker.NewJob(&journaler.Entry{Job: &job})
-		for i, task := range j.Steps[0].Tasks {
+		for i := range count {
+			task := j.Task(describer.TaskRef{Index: i})
 			task.Run = &tasker.Run{Task: task, Job: j, Number: 300, Worker: "i-0123456789abcdef"}
 			if i < 100 {
 				task.Fail(257, "w-1")
@@ -84,8 +99,8 @@
 	})
 	t.Run("failed runs that do not fit are left out, and no task that is done", func(t *testing.T) {
 		j := tasker.NewJob(&journaler.Entry{Job: &job})
-		for i, task := range j.Steps[0].Tasks {
-			if i%2 == 0 {
+		for i := range count {
+			if task := j.Task(describer.TaskRef{Index: i}); i%2 == 0 {
 				task.Finish()
 			} else {
 				task.Fail(1<<40, "w-1")
@@ -95,12 +110,12 @@
 		progress, size := persist(t, j, false)
 		require.LessOrEqual(t, size, maxRecord)
 		restored := tasker.NewJob(&journaler.Entry{Job: &job, Progress: progress})
-		require.Equal(t, count/2, restored.Steps[0].RemainingTasks)
+		require.Equal(t, count/2, restored.Step(0, 0).RemainingTasks)
 	})
 	t.Run("a long-running task may fail any number of times", func(t *testing.T) {
 		j := tasker.NewJob(&journaler.Entry{Job: &describer.Job{Steps: []describer.Step{{Count: 1, LongRunning: true}}}})
 		for number := range int64(100_000) {
-			j.Steps[0].Tasks[0].Fail(number+1, "w-1")
+			j.Task(describer.TaskRef{}).Fail(number+1, "w-1")
 		}
 		_, size := persist(t, j, false)
 		require.Less(t, size, 100)
@@ -116,7 +131,7 @@
 		progress.Steps = append(progress.Steps, journaler.StepProgress{Occurrence: k, Done: []int{0, 0}})
 	}
 	j := tasker.NewJob(&journaler.Entry{Job: &job, Progress: progress})
-	for k, s := range j.Steps {
+	for k, s := range stepsOf(j) {
 		require.Equal(t, k < 60, s.RemainingTasks == 0)
 	}
 }
--- a/internal/fleet/tasker/ready.go
+++ b/internal/fleet/tasker/ready.go
@@ -1,6 +1,7 @@
 package tasker
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,17 +9,31 @@
 	"lentilrock.example/internal/fleet/ranker"
 )
 
-// maxOffered bounds the steps of one job that ReadySteps returns, so that a job with many of them does not
-// delay the others. Half of them are the first ones, the others are taken in rotation.
-const maxOffered = 64
+const (
+	// maxOffered bounds the steps of one job that ReadySteps returns, so that a job with many of them does not
+	// delay the others. Half of them are the first ones, the others are taken in rotation.
+	maxOffered = 64
+	// maxScanned bounds the steps and dependencies of one job that each half of the search for these steps looks at.
+	maxScanned = 2048
+	// manyJobs is the number of jobs from which on both bounds shrink with the number of jobs, to minOffered
+	// and minScanned at the least.
+	manyJobs   = 128
+	minOffered = 4
+	minScanned = 64
+)
 
 // ReadySteps returns the steps that are ready and have tasks to start, ordered by rank, and those of a job in
 // its own order. Of a job with many such steps it returns some, and others the next time.
 func ReadySteps(jobs map[describer.JobID]*Job, now time.Time) []*Step {
+	offered, scanned := maxOffered, maxScanned
+	if len(jobs) > manyJobs {
+		offered = max(maxOffered*manyJobs/len(jobs), minOffered)
+		scanned = max(maxScanned*manyJobs/len(jobs), minScanned)
+	}
 	var steps []*Step
 	for _, j := range jobs {
 		if !j.IsOver() {
-			steps = j.appendReady(steps, now)
+			steps = j.appendReady(steps, now, offered, scanned)
 		}
 	}
 	slices.SortStableFunc(steps, func(a, b *Step) int { return a.Rank.Compare(b.Rank) })
@@ -26,18 +41,16 @@
 }
 
 // appendReady appends the steps of a job that are ready and have tasks to start, with their ranks.
-func (j *Job) appendReady(steps []*Step, now time.Time) []*Step {
-	var ready []*Step
-	for _, s := range j.dueSteps(now) {
-		if s.IsReady(now) && s.hasWaitingTask(now) {
-			ready = append(ready, s)
-		}
-	}
-	if len(ready) == 0 {
+func (j *Job) appendReady(steps []*Step, now time.Time, offered, scanned int) []*Step {
+	begin, end := j.dueRange(now)
+	j.search.Limit, j.search.MaxCost = offered, scanned
+	numbers := j.search.Find(begin, end, func(number int) (bool, int) { return j.isReady(number, now) })
+	if len(numbers) == 0 {
 		return steps
 	}
 	remaining, work := j.CriticalPath(), j.Work()
-	for _, s := range j.selectOffered(ready) {
+	for _, number := range numbers {
+		s := j.step(number)
 		s.Rank = ranker.Of(ranker.Candidate{
 			Priority: j.Queue.Priority, LongRunning: s.Spec.LongRunning,
 			Objective: j.Objective, Remaining: remaining, Work: work, Offset: j.Offset,
@@ -47,51 +60,50 @@
 	return steps
 }
 
-// selectOffered returns at most maxOffered of the ready steps of a job. A step that can't be placed, for
-// example since no worker may run it, keeps none of the others back for long.
-func (j *Job) selectOffered(ready []*Step) []*Step {
-	if len(ready) <= maxOffered {
-		return ready
+// isReady reports whether the step with a number, whose occurrence is due, has tasks to start, and how many
+// steps it looked at.
+func (j *Job) isReady(number int, now time.Time) (isReady bool, scanned int) {
+	if j.tally.IsStepDone(number) {
+		return false, 1
 	}
-	const fixed = maxOffered / 2
-	offered := slices.Clone(ready[:fixed])
-	others := ready[fixed:]
-	for i := range min(maxOffered-fixed, len(others)) {
-		offered = append(offered, others[(j.offered+i)%len(others)])
+	isUnblocked, dependencies := j.tally.IsUnblocked(number)
+	if !isUnblocked {
+		return false, 1 + dependencies
 	}
-	j.offered = (j.offered + maxOffered - fixed) % len(others)
-	return offered
+	// Only tasks that have started before may not be waiting.
+	s, isKept := j.steps[number]
+	return !isKept || s.hasWaitingTask(now), 1 + dependencies
 }
 
-// dueSteps returns the steps of the occurrences that are due, without the first ones that are done. An
-// occurrence is due no earlier than the one before it.
-func (j *Job) dueSteps(now time.Time) []*Step {
-	for j.firstOpen < len(j.Steps) && j.Steps[j.firstOpen].RemainingTasks == 0 {
-		j.firstOpen++
-	}
-	due := len(j.Steps)
+// dueRange returns the numbers of the first open step and of the first step that is not due. An occurrence is
+// due no earlier than the one before it.
+func (j *Job) dueRange(now time.Time) (begin, end int) {
+	j.firstOpen = j.tally.NextOpenStep(j.firstOpen)
+	end = j.tally.StepCount()
 	if j.Spec.Repeat > 0 && j.Spec.Interval > 0 {
 		elapsed := now.Sub(j.Spec.StartAt)
 		if elapsed < 0 {
-			return nil
+			return 0, 0
 		}
 		occurrences := min(int64(elapsed/j.Spec.Interval)+1, int64(j.Spec.Occurrences()))
-		due = int(occurrences) * len(j.Spec.Steps)
+		end = int(occurrences) * len(j.Spec.Steps)
 	}
-	return j.Steps[min(j.firstOpen, due):due]
+	return min(j.firstOpen, end), end
 }
 
-// SpeculativeSteps returns the steps that are ready and allow speculative copies, ordered by rank.
+// SpeculativeSteps returns the steps with runs that are ready and allow speculative copies, ordered by rank.
 // Gangs are left out.
 func SpeculativeSteps(jobs map[describer.JobID]*Job, now time.Time) []*Step {
 	var steps []*Step
 	for _, j := range jobs {
-		for _, s := range j.dueSteps(now) {
+		for _, s := range j.steps {
 			if s.Spec.Speculative && !s.Spec.Gang && s.IsReady(now) {
 				steps = append(steps, s)
 			}
 		}
 	}
-	slices.SortStableFunc(steps, func(a, b *Step) int { return a.Rank.Compare(b.Rank) })
+	slices.SortFunc(steps, func(a, b *Step) int {
+		return cmp.Or(a.Rank.Compare(b.Rank), cmp.Compare(a.number(), b.number()))
+	})
 	return steps
 }
--- a/internal/fleet/tasker/ready_test.go
+++ b/internal/fleet/tasker/ready_test.go
@@ -57,15 +57,15 @@
 	})
 	t.Run("occurrences that are done are passed over", func(t *testing.T) {
 		jobs := scheduled(100)
-		for _, s := range jobs["a"].Steps[:98] {
-			require.True(t, s.Tasks[0].Finish())
+		for _, s := range stepsOf(jobs["a"])[:98] {
+			require.True(t, s.Task(0).Finish())
 		}
 		steps := tasker.ReadySteps(jobs, start.Add(time.Hour))
 		require.Len(t, steps, 2)
 		require.ElementsMatch(t, []int{98, 99}, []int{steps[0].Occurrence, steps[1].Occurrence})
 		require.False(t, jobs["a"].IsDone())
 		for _, s := range steps {
-			require.True(t, s.Tasks[0].Finish())
+			require.True(t, s.Task(0).Finish())
 		}
 		require.True(t, jobs["a"].IsDone())
 	})
--- a/internal/fleet/tasker/speculative.go
+++ b/internal/fleet/tasker/speculative.go
@@ -61,12 +61,12 @@
 // on a worker whose machine was ordered down is unavailable; the tasks on the named worker are not
 // counted.
 func (s *Step) UnavailableTasks(worker string, isGoingDown func(worker string) bool) int {
-	count := 0
-	for _, t := range s.Tasks {
+	count := s.Spec.Count
+	for _, t := range s.tasks {
 		isUp := t.Run != nil && t.Run.Done >= FullPercent && !t.Run.Stopping && !isGoingDown(t.Run.Worker)
 		isOnWorker := t.Run != nil && t.Run.Worker == worker
-		if !isOnWorker && !isUp {
-			count++
+		if isOnWorker || isUp {
+			count--
 		}
 	}
 	return count
--- /dev/null
+++ b/internal/fleet/tasker/task.go
@@ -0,0 +1,184 @@
+package tasker
+
+import (
+	"time"
+
+	"lentilrock.example/internal/fleet/describer"
+)
+
+const (
+	// FullPercent is the speed at which a run begins, in percent of its full speed.
+	FullPercent = 100
+	// UnknownPercent stands for the speed of a run that a former holder may have throttled.
+	UnknownPercent = -1
+)
+
+// Task is a task of a step.
+type Task struct {
+	Step  *Step
+	Index int
+	Done  bool
+	// Run is the current run; nil if there is none.
+	Run *Run
+	// LastRun is the highest run number that the task has had.
+	LastRun int64
+	// FailedAt are the workers on which the task failed.
+	FailedAt map[string]bool
+	// NotBefore is the earliest time of the next start (backoff).
+	NotBefore time.Time
+	// UnplacedSince is when placing the task first failed after its last start; zero if it has not
+	// failed. It is set for long-running tasks only.
+	UnplacedSince time.Time
+	failures      map[int64]bool
+	checkpoint    string
+	// runs are all runs of the task that may be active.
+	runs []*Run
+}
+
+// Run is one start of a task that may be active.
+type Run struct {
+	Ref describer.TaskRef
+	// Job and Task are nil if a worker reports a run of an unknown job or task.
+	Job    *Job
+	Task   *Task
+	Number int64
+	// Worker is the ID of the run's worker.
+	Worker string
+	Charge describer.Resources
+	SentAt time.Time
+	// ConfirmedAt is when the worker confirmed the run; zero while the start is unconfirmed.
+	ConfirmedAt time.Time
+	// Done is the completed share of the work, in percent. A long-running task is up at 100.
+	Done int
+	// Usage is the last reported resource usage of the run; see orderer.Running.
+	Usage int64
+	// Percent is the speed of the run that the worker last confirmed, in percent of its full
+	// speed; OrderedPercent is the one that was ordered last.
+	Percent          int
+	OrderedPercent   int
+	OrderedPercentAt time.Time
+	Stopping         bool
+	StopSentAt       time.Time
+	// StopAckedAt is when the worker acknowledged the stop. The next poll of its inventory shows
+	// whether the run is gone.
+	StopAckedAt time.Time
+}
+
+// Ref returns the reference of the task.
+func (t *Task) Ref() describer.TaskRef {
+	return describer.TaskRef{Job: t.Step.Job.Spec.ID, Occurrence: t.Step.Occurrence, Step: t.Step.Index, Index: t.Index}
+}
+
+// NextRun returns the number of the task's next run, which is above those of former holders.
+func (t *Task) NextRun(epoch int64) int64 { return max(t.LastRun+1, (epoch-1)*RunsPerEpoch+1) }
+
+// IsWaiting reports whether the task may be started. It does not start beside a run that is being stopped
+// unless the step allows speculative copies.
+func (t *Task) IsWaiting(now time.Time) bool {
+	hasRun := t.Run != nil || len(t.runs) > 0 && !t.Step.Spec.Speculative
+	return !t.Done && !hasRun && !t.NotBefore.After(now)
+}
+
+// Finish marks the task as done, or all tasks of its gang. It reports whether any of them was
+// not done before.
+func (t *Task) Finish() bool {
+	if !t.Step.Spec.Gang {
+		return t.finish()
+	}
+	isNew := false
+	for index := range t.Step.Spec.Count {
+		isNew = t.Step.Task(index).finish() || isNew
+	}
+	return isNew
+}
+
+func (t *Task) finish() bool {
+	s := t.Step
+	if !s.Job.tally.FinishTask(s.number(), t.Index) {
+		return false
+	}
+	if _, isKept := s.tasks[t.Index]; isKept {
+		s.openTasks--
+	}
+	t.Done = true
+	s.RemainingTasks--
+	if s.RemainingTasks == 0 {
+		s.Job.tally.FinishStep(s.number())
+	}
+	t.release()
+	return true
+}
+
+// Keep makes the step return this task from now on, with the state that it has.
+func (t *Task) Keep() {
+	s := t.Step
+	if _, found := s.tasks[t.Index]; found {
+		return
+	}
+	if s.tasks == nil {
+		s.tasks = make(map[int]*Task)
+	}
+	s.tasks[t.Index] = t
+	if !t.Done {
+		s.openTasks++
+	}
+	s.Keep()
+}
+
+// release drops the task if it is done and no run of it may be active.
+func (t *Task) release() {
+	if t.Done && len(t.runs) == 0 {
+		delete(t.Step.tasks, t.Index)
+		t.Step.release()
+	}
+}
+
+// Runs returns all runs of the task that may be active.
+func (t *Task) Runs() []*Run { return t.runs }
+
+// SaveCheckpoint records the newest checkpoint of the task, or of its gang.
+func (t *Task) SaveCheckpoint(value string) {
+	if value == "" {
+		return
+	}
+	t.checkpoint = value
+	if t.Step.Spec.Gang {
+		t.Step.checkpoint = value
+	}
+}
+
+// Checkpoint returns the checkpoint from which the next run resumes; empty means that it starts
+// from the beginning.
+func (t *Task) Checkpoint() string {
+	if t.Step.Spec.Gang {
+		return t.Step.checkpoint
+	}
+	return t.checkpoint
+}
+
+// Fail records that a run failed on a worker and returns the number of failed runs of the task, or
+// of its gang. A run that is recorded again counts once.
+func (t *Task) Fail(number int64, worker string) int {
+	if t.FailedAt == nil {
+		t.FailedAt = make(map[string]bool)
+	}
+	t.FailedAt[worker] = true
+	return t.countFailure(number)
+}
+
+// countFailure counts a failed run and returns the number of them. A long-running task may fail any number
+// of times, so that only its last failure is kept.
+func (t *Task) countFailure(number int64) int {
+	failures := &t.failures
+	if t.Step.Spec.Gang {
+		failures = &t.Step.gangFailures
+	}
+	if *failures == nil {
+		*failures = make(map[int64]bool)
+	}
+	if t.Step.Spec.LongRunning {
+		clear(*failures)
+	}
+	(*failures)[number] = true
+	return len(*failures)
+}
--- a/internal/query/processor/view.go
+++ b/internal/query/processor/view.go
@@ -9,12 +9,17 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/monitor"
+	"lentilrock.example/internal/fleet/tasker"
 	"lentilrock.example/internal/query/tabler"
 )
 
+// maxListedTasks bounds the rows of the table of tasks, which is built while the host's state is locked.
+const maxListedTasks = 10_000
+
 // views maps the nouns of show statements to the functions that build their tables.
 var views = map[string]func(k CellView) tabler.Table{
 	"audit": audit, "config": config, "fleet": fleet, "hosts": hosts, "jobs": jobs, "tasks": tasks, "workers": workers,
@@ -64,27 +69,38 @@
 		addMissingRuns(&t)
 		return t
 	}
-	for _, j := range k.Registrar.Jobs {
-		for _, s := range j.Steps {
-			for _, task := range s.Tasks {
-				switch r := task.Run; {
-				case task.Done:
-				case r == nil:
-					t.Add(task.Ref().String(), "waiting", "-", "-", age(k, task.UnplacedSince), "-")
-				default:
-					state := "running"
-					if r.ConfirmedAt.IsZero() {
-						state = "ordered"
-					}
-					t.Add(task.Ref().String(), state, r.Worker, strconv.FormatInt(r.Number, 10), age(k, r.SentAt), strconv.Itoa(r.Done))
-				}
-			}
+	for _, id := range sorter.Keys(k.Registrar.Jobs) {
+		if !addTasks(&t, k, k.Registrar.Jobs[id]) {
+			t.Missing = append(t.Missing, fmt.Sprintf("the other tasks: there are over %d", maxListedTasks))
+			break
 		}
 	}
 	sortRows(&t)
 	return t
 }
 
+// addTasks adds the tasks of a job that are not done to a table. It returns false if there are too many of them.
+func addTasks(t *tabler.Table, k CellView, j *tasker.Job) bool {
+	for s := range j.Open() {
+		for task := range s.Open() {
+			if len(t.Rows) == maxListedTasks {
+				return false
+			}
+			r := task.Run
+			if r == nil {
+				t.Add(task.Ref().String(), "waiting", "-", "-", age(k, task.UnplacedSince), "-")
+				continue
+			}
+			state := "running"
+			if r.ConfirmedAt.IsZero() {
+				state = "ordered"
+			}
+			t.Add(task.Ref().String(), state, r.Worker, strconv.FormatInt(r.Number, 10), age(k, r.SentAt), strconv.Itoa(r.Done))
+		}
+	}
+	return true
+}
+
 func workers(k CellView) tabler.Table {
 	t := tabler.Table{Columns: []string{"worker", "service", "data_centre", "rack", "state", "runs", "cores", "memory_mb", "heard"}}
 	if k.Registrar == nil {
