Keep times and numbers that come from outside within their types

What callers saw: a valid job of 20 steps in sequence with estimates of ten years each was due in the year 1734, so that it went before all other jobs of its queue, or after them.

Cause: durations were added along dependencies, multiplied by the queue's stretch and added to times without a bound, and floats were converted to integers beyond their range, which arm64 and x86-64 do differently. MaxInt64 as the number of a run, a result or an epoch made the next one negative, which is never above it.

Change: package clamper adds, scales and converts with the nearest value of the type as the result.

--- a/internal/entry/distributor/distributor.go
+++ b/internal/entry/distributor/distributor.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"lentilrock.example/internal/container/clamper"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/peer/messenger"
@@ -99,7 +100,7 @@
 	if err != nil {
 		return orderer.Advice{}, err
 	}
-	callCtx, cancel := context.WithTimeout(ctx, serviceTime(request)+replySlack)
+	callCtx, cancel := context.WithTimeout(ctx, clamper.Add(serviceTime(request), replySlack))
 	defer cancel()
 	advice, err := a.adviseThrough(callCtx, host, request)
 	if err != nil && ctx.Err() != nil {
@@ -116,7 +117,7 @@
 
 // serviceTime returns how long the service is expected to take for a request.
 func serviceTime(request orderer.AdviceRequest) time.Duration {
-	return request.Terms.Decide + time.Duration(len(request.Workers))*request.Terms.PerWorker
+	return clamper.Add(request.Terms.Decide, clamper.Scale(request.Terms.PerWorker, float64(len(request.Workers))))
 }
 
 // acquire waits for a free host. Requests with a short expected service time go first.
@@ -250,7 +251,7 @@
 }
 
 func (a *Distributor) serveAdvise(ctx context.Context, _ messenger.Hello, request orderer.AdviceRequest) (orderer.Advice, error) {
-	callCtx, cancel := context.WithTimeout(ctx, serviceTime(request)+replySlack)
+	callCtx, cancel := context.WithTimeout(ctx, clamper.Add(serviceTime(request), replySlack))
 	defer cancel()
 	return a.adviseLocally(callCtx, request)
 }
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/container/clamper"
 )
 
 // JobID identifies a job. The caller chooses it.
@@ -239,7 +241,7 @@
 		for _, d := range j.Steps[i].After {
 			begin = max(begin, ends[d])
 		}
-		ends[i] = begin + length(i)
+		ends[i] = clamper.Add(begin, length(i))
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -345,6 +347,10 @@
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
+// MaxRun is the highest number of a run that a worker or a record may name. Numbers of later runs and epochs are
+// above it only after centuries.
+const MaxRun = 1 << 53
+
 // StepRef identifies a step of an occurrence of a job.
 type StepRef struct {
 	Job        JobID
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -20,6 +20,7 @@
 	"slices"
 	"time"
 
+	"lentilrock.example/internal/container/clamper"
 	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
@@ -287,8 +288,8 @@
 // of the planned duration for each group of machines that are down together, less the downtime,
 // at most maxDrainTime.
 func (w *wave) drainTime() time.Duration {
-	rounds := (len(w.Machines) + max(w.MaxDown, 1) - 1) / max(w.MaxDown, 1)
-	each := time.Duration(plannedShare*float64(w.Duration))/time.Duration(max(rounds, 1)) - machineDowntime
+	rounds := max(len(w.Machines)-1, 0)/max(w.MaxDown, 1) + 1
+	each := clamper.Add(clamper.Scale(w.Duration, plannedShare)/time.Duration(rounds), -machineDowntime)
 	return min(max(each, 0), maxDrainTime)
 }
 
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -44,6 +44,9 @@
 // than 256 KiB, and with them the other records of the append.
 const maxJobBytes = 192 << 10
 
+// maxEpoch bounds the epoch of a claim, so that later claims and the numbers of their runs stay within their types.
+const maxEpoch = 1 << 40
+
 // ErrTooLarge means that the record of a job is larger than the store may accept.
 var ErrTooLarge = errors.New("the job is too large")
 
@@ -416,6 +419,9 @@
 	if err := cbor.Unmarshal(r.Value, &claim); err != nil {
 		return errors.Errorf("decode claim: %w", err)
 	}
+	if claim.Epoch <= 0 || claim.Epoch > maxEpoch {
+		return errors.Errorf("the claim of host %q has the epoch %d, outside 1 to %d", claim.Host, claim.Epoch, int64(maxEpoch))
+	}
 	isRelease := claim.Epoch == s.Claim.Epoch && claim.Incarnation == s.Claim.Incarnation && claim.Released
 	if offset <= s.ClaimOffset || claim.Epoch <= s.Claim.Epoch && !isRelease {
 		return nil
--- a/internal/fleet/journaler/journaler_test.go
+++ b/internal/fleet/journaler/journaler_test.go
@@ -1,6 +1,7 @@
 package journaler_test
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -79,6 +80,17 @@
 	}
 }
 
+// TestImpossibleEpochs guards against a claim after which no host can claim the cell, as the next epoch would be
+// negative.
+func TestImpossibleEpochs(t *testing.T) {
+	for _, epoch := range []int64{math.MaxInt64, 1<<40 + 1, 0, -1, math.MinInt64} {
+		state := journaler.New()
+		_, err := state.Apply(newRecord(t, journaler.NewClaim, journaler.Claim{Epoch: epoch, Host: "a"}), 0)
+		require.Error(t, err)
+		require.Zero(t, state.Claim)
+	}
+}
+
 // TestOnlyHeartbeatsOfTheCurrentHolderCount guards against a dead holder that seems alive because
 // of late heartbeats of a former one.
 func TestOnlyHeartbeatsOfTheCurrentHolderCount(t *testing.T) {
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -10,7 +10,11 @@
 //	deadline := lease.Extend(now, 4*time.Second)
 package leaser
 
-import "time"
+import (
+	"time"
+
+	"lentilrock.example/internal/container/clamper"
+)
 
 const (
 	// maxClockDrift is how much slower a worker's clock may run. At most 2% is promised;
@@ -23,7 +27,7 @@
 // ExpiryOf returns the time on this host's clock after which a lease of the given duration has
 // expired on the worker, whatever the drift of its clock.
 func ExpiryOf(lease time.Duration) time.Duration {
-	return lease + time.Duration(maxClockDrift*float64(lease)) + lapseSlack
+	return clamper.Add(clamper.Add(lease, clamper.Scale(lease, maxClockDrift)), lapseSlack)
 }
 
 // Lease holds the clock of a worker and the end of the longest lease granted to it.
@@ -48,7 +52,7 @@
 		return 0
 	}
 	l.Cover(now, lease)
-	return l.clock + now.Sub(l.sampledAt) + lease
+	return clamper.Add(l.clock, clamper.Add(now.Sub(l.sampledAt), lease))
 }
 
 // Cover allows for a lease of the given duration that the worker may have been granted until now.
--- a/internal/fleet/ranker/ranker.go
+++ b/internal/fleet/ranker/ranker.go
@@ -14,6 +14,8 @@
 import (
 	"cmp"
 	"time"
+
+	"lentilrock.example/internal/container/clamper"
 )
 
 // Candidate is a step that waits for capacity.
@@ -47,7 +49,7 @@
 		r.priority = -1
 		return r
 	}
-	slack := c.Objective.Sub(now) - c.Remaining
+	slack := clamper.Add(c.Objective.Sub(now), -c.Remaining)
 	r.isLate = slack < 0
 	r.key = slack.Seconds()
 	if r.isLate {
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -72,7 +72,9 @@
 	o.MaxLease = cmp.Or(o.MaxLease, defaultMaxLease)
 	o.History = cmp.Or(o.History, defaultHistory)
 	o.Lease = min(o.Lease, o.MaxLease)
-	o.FormerLease = min(cmp.Or(o.FormerLease, o.MaxLease), o.MaxLease)
+	if o.FormerLease <= 0 || o.FormerLease > o.MaxLease {
+		o.FormerLease = o.MaxLease
+	}
 	o.RemoteFactor = max(o.RemoteFactor, 1)
 	if o.Observe == nil {
 		o.Observe = func(string, time.Duration) {}
--- a/internal/fleet/tallier/tallier.go
+++ b/internal/fleet/tallier/tallier.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"lentilrock.example/internal/container/clamper"
 	"lentilrock.example/internal/container/marker"
 	"lentilrock.example/internal/fleet/describer"
 )
@@ -132,7 +133,7 @@
 		if t.doneSteps.Has(index) {
 			return 0
 		}
-		return t.job.Steps[index].Estimate + decide
+		return clamper.Add(t.job.Steps[index].Estimate, decide)
 	})
 	t.path = cachedPath{length: length, decide: decide, openSteps: t.openSteps, isKnown: true}
 	return length
--- a/internal/fleet/tasker/speculative.go
+++ b/internal/fleet/tasker/speculative.go
@@ -1,6 +1,10 @@
 package tasker
 
-import "time"
+import (
+	"time"
+
+	"lentilrock.example/internal/container/clamper"
+)
 
 const (
 	// copyFactor is how many times its expected duration a run takes before a speculative copy
@@ -54,7 +58,7 @@
 	if expected == 0 || t.Run == nil {
 		return false
 	}
-	return now.Sub(t.Run.SentAt) > time.Duration(copyFactor*float64(expected))+copyMargin
+	return now.Sub(t.Run.SentAt) > clamper.Add(clamper.Scale(expected, copyFactor), copyMargin)
 }
 
 // UnavailableTasks returns the number of tasks of a long-running step that are unavailable. A task
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -20,6 +20,7 @@
 	"slices"
 	"time"
 
+	"lentilrock.example/internal/container/clamper"
 	"lentilrock.example/internal/container/rotator"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
@@ -78,7 +79,7 @@
 		steps: make(map[int]*Step), tally: tallier.New(entry.Job),
 	}
 	j.restore(entry.Progress)
-	j.Objective = entry.Job.Received.Add(time.Duration(max(j.Queue.Stretch, 1)*float64(j.CriticalPath())) + j.Queue.Latency)
+	j.Objective = entry.Job.Received.Add(clamper.Add(clamper.Scale(j.CriticalPath(), max(j.Queue.Stretch, 1)), j.Queue.Latency))
 	return j
 }
 
--- a/internal/fleet/throttler/throttler.go
+++ b/internal/fleet/throttler/throttler.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"lentilrock.example/internal/container/clamper"
 	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/fleet/registrar"
@@ -61,7 +62,7 @@
 
 // tailRatio returns the ratio of the tail latency of a serving run to its objective.
 func tailRatio(r *tasker.Run) float64 {
-	tail := time.Duration(r.Usage) * time.Millisecond
+	tail := clamper.Duration(float64(r.Usage), time.Millisecond)
 	return float64(tail) / float64(r.Task.Step.Spec.TailTarget)
 }
 
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -172,7 +172,7 @@
 		for _, sr := range p.Unresponsive {
 			w, isKnown := wt.Workers[sr.Worker]
 			ref := describer.TaskRef{Job: entry.ID, Occurrence: p.Occurrence, Step: p.Step, Index: sr.Index}
-			if !isKnown || j.Task(ref) == nil {
+			if !isKnown || sr.Run <= 0 || sr.Run > describer.MaxRun || j.Task(ref) == nil {
 				continue
 			}
 			wt.reconciler.Adopt(w, orderer.Running{Task: ref, Run: sr.Run})
