Bound what a round of the dispatcher costs, and the runs of a holder

What callers saw: nothing is placed any more for any of them. A few valid requests made each round of the dispatcher last seconds, during which the host does nothing else; tasks that need no resources ran without limit, and what the holder keeps of each run filled its memory.

Cause: every step that could not be placed was compared with every worker in every round, and each of the 5,000 members of a gang, too, even when the last member had no room. The starts in flight and the active runs were bounded for a worker's connections alone.

Change: a round remembers needs that no worker could take, looks at 1,024 steps, half of them in rotation, and plans a gang only if all of it has room. Its members stay on a worker while it has room, which is the choice that the comparison would make.

--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -58,6 +58,17 @@
 	return r.MilliCPU <= available.MilliCPU && r.MemoryMB <= available.MemoryMB && r.GPU <= available.GPU
 }
 
+// CountIn returns how many times r fits into available, at most limit.
+func (r Resources) CountIn(available Resources, limit int) int {
+	count := int64(limit)
+	for _, amount := range [][2]int64{{r.MilliCPU, available.MilliCPU}, {r.MemoryMB, available.MemoryMB}, {r.GPU, available.GPU}} {
+		if amount[0] > 0 {
+			count = min(count, amount[1]/amount[0])
+		}
+	}
+	return int(max(count, 0))
+}
+
 // Step is a part of a job: tasks of one kind that may run concurrently.
 type Step struct {
 	Count int       `cbor:"1,keyasint,omitempty"`
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -38,6 +38,8 @@
 	// maxStartsInFlight bounds the starts without a verdict, as more than the connections to a worker can
 	// carry would wait for one until they time out.
 	maxStartsInFlight = 24
+	// maxRuns bounds the runs on a worker, which lists all of them in each reply to a poll.
+	maxRuns = 1024
 	// maxStartTimeout is the upper bound of the timeout of a start.
 	maxStartTimeout = 500 * time.Millisecond
 	// roundTripWeight is the divisor of the moving average of round-trip times: a new sample
@@ -187,7 +189,7 @@
 // it would discard the results of the current incarnation.
 func (w *Worker) AcceptsTasks(now time.Time) bool {
 	isSameIncarnation := w.Info.Incarnation == 0 || w.Info.Incarnation == w.Incarnation
-	isResponsive := w.stalePolls == 0 && w.startsInFlight < maxStartsInFlight && w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
+	isResponsive := w.stalePolls == 0 && w.startsInFlight < maxStartsInFlight && len(w.Runs) < maxRuns && w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
 	return w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && !w.IsDrained && isSameIncarnation && isResponsive && w.Breaker.AllowsStarts(now)
 }
 
@@ -198,6 +200,9 @@
 	w.Results, w.Breaker, w.Pacer = acknowledger.ResultTracker{}, breaker.Breaker{}, pacer.Pacer{}
 }
 
+// StartsInFlight returns the number of starts without a verdict so far.
+func (w *Worker) StartsInFlight() int { return w.startsInFlight }
+
 // StartSent records that a start is in flight.
 func (w *Worker) StartSent() { w.startsInFlight++ }
 
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"lentilrock.example/internal/container/rotator"
 	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/fleet/reconciler"
@@ -21,9 +22,9 @@
 	"lentilrock.example/internal/fleet/tasker"
 )
 
-// maxStartsPerJob bounds the tasks of one job that are started in one round, apart from gangs, so that a
-// job with many small tasks does not delay the others.
-const maxStartsPerJob = 256
+// maxOffered bounds the steps that are placed in one round. Half of them are those with the best ranks, the others
+// are taken in rotation.
+const maxOffered = 1024
 
 // Placer starts tasks.
 type Placer struct {
@@ -31,15 +32,14 @@
 	reconciler *reconciler.Reconciler
 	selector   selector.Selector
 	requests   requester.Requester
-	// started counts the tasks that were started in the current round, by job.
-	started map[*tasker.Job]int
+	rotation   rotator.Rotator
+	// round is the current round.
+	round *round
 }
 
 // New returns a placer for the jobs of a registrar.
 func New(r *registrar.Registrar, s *reconciler.Reconciler) *Placer {
-	return &Placer{
-		Registrar: r, reconciler: s, selector: selector.Selector{RemoteFactor: r.Options.RemoteFactor}, started: make(map[*tasker.Job]int),
-	}
+	return &Placer{Registrar: r, reconciler: s, selector: selector.Selector{RemoteFactor: r.Options.RemoteFactor}}
 }
 
 // placement is a task and the worker selected for it.
@@ -53,14 +53,16 @@
 // steps.
 func (p *Placer) Place() {
 	hasUnknownRuns, hasUnlistedRuns := p.mayHaveUnknownRuns()
-	clear(p.started)
-	for _, s := range tasker.ReadySteps(p.Jobs, p.Now) {
+	p.round = p.newRound()
+	for _, s := range rotator.Select(&p.rotation, tasker.ReadySteps(p.Jobs, p.Now), maxOffered) {
 		if hasUnknownRuns && s.Job.MayHaveUnknownRuns || hasUnlistedRuns && s.Job.MayHaveUnlistedRuns {
 			continue
 		}
-		if s.Spec.Gang {
+		switch {
+		case p.round.isImpossible(s):
+		case s.Spec.Gang:
 			p.placeGang(s)
-		} else {
+		default:
 			p.placeStep(s)
 		}
 	}
@@ -111,7 +113,7 @@
 	}
 	candidates := p.candidates(s)
 	for t := range s.Waiting(p.Now) {
-		if p.started[s.Job] >= maxStartsPerJob {
+		if p.round.startedByJob[s.Job] >= maxStartsPerJob || !p.round.mayStart(s.Job, 1) {
 			return
 		}
 		w, ticket := p.selector.Best(t, candidates, selector.Plan{}, p.Now)
@@ -119,6 +121,7 @@
 			if s.Spec.LongRunning {
 				p.reserve(t)
 			}
+			p.round.recordImpossible(s)
 			p.requestAdvice(s)
 			return
 		}
@@ -132,20 +135,31 @@
 		p.requestAdvice(s)
 		return
 	}
+	if !p.round.mayStart(s.Job, s.Spec.Count) {
+		return
+	}
+	candidates := p.candidates(s)
+	if !selector.HasRoom(s, candidates, p.Now) {
+		p.requestAdvice(s)
+		return
+	}
 	var planned []placement
 	var plan selector.Plan
 	number := int64(0)
-	candidates := p.candidates(s)
+	var last *monitor.Worker
 	for index := range s.Spec.Count {
 		t := s.Task(index)
 		if !t.IsWaiting(p.Now) {
 			return
 		}
-		w, ticket := p.selector.Best(t, candidates, plan, p.Now)
+		w, ticket := p.selector.Next(last, t, candidates, plan, p.Now)
 		if w == nil {
 			p.requestAdvice(s)
 			return
 		}
+		if last = w; len(t.FailedAt) > 0 {
+			last = nil
+		}
 		plan.Add(s, w)
 		planned = append(planned, placement{t, w, ticket})
 		number = max(number, t.NextRun(p.Options.Epoch))
@@ -170,7 +184,7 @@
 	w.Add(r)
 	w.StartSent()
 	j.AddRun(r)
-	p.started[j]++
+	p.round.recordStart(j)
 	if !j.Begun {
 		p.Options.Observe("first_start_seconds", p.Now.Sub(j.Spec.Received))
 		j.Begun = true
--- /dev/null
+++ b/internal/fleet/placer/round.go
@@ -0,0 +1,100 @@
+package placer
+
+import (
+	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/tasker"
+)
+
+const (
+	// maxStartsPerJob bounds the tasks of one job that are started in one round, apart from gangs, so that a
+	// job with many small tasks does not delay the others.
+	maxStartsPerJob = 256
+	// maxStartsInFlight bounds the starts without a verdict at all workers together. It is above the size of the
+	// largest gang.
+	maxStartsInFlight = 8192
+	// jobDivisor and queueDivisor are the parts of the runs that a holder carries that one job, or the jobs of one
+	// queue, may have.
+	jobDivisor   = 4
+	queueDivisor = 2
+	// maxNeeds bounds the needs of a kind that a round remembers as impossible to place.
+	maxNeeds = 16
+)
+
+// kind is what workers must have for a task apart from capacity.
+type kind struct {
+	service string
+	label   string
+}
+
+// round is what has been started in a round, and what could not be. Within a round the capacity only shrinks.
+type round struct {
+	// startedByJob counts the tasks that were started, by job.
+	startedByJob map[*tasker.Job]int
+	// inFlight counts the starts without a verdict.
+	inFlight int
+	// maxRuns is how many runs may be active, 0 for any number. runs counts them, runsByQueue those of a queue.
+	maxRuns     int
+	runs        int
+	runsByQueue map[string]int
+	// impossible are needs for which no worker has capacity.
+	impossible map[kind][]describer.Resources
+}
+
+// newRound returns a round with the runs that are active at its beginning.
+func (p *Placer) newRound() *round {
+	r := &round{
+		startedByJob: make(map[*tasker.Job]int), runsByQueue: make(map[string]int), impossible: make(map[kind][]describer.Resources),
+		maxRuns: p.Options.MaxRuns,
+	}
+	for _, w := range p.Ordered {
+		r.inFlight += w.StartsInFlight()
+		r.runs += len(w.Runs)
+	}
+	for _, j := range p.Jobs {
+		r.runsByQueue[j.Queue.Name] += len(j.Runs)
+	}
+	return r
+}
+
+// mayStart reports whether a number of tasks of a job may be started without exceeding a bound of the holder.
+func (r *round) mayStart(j *tasker.Job, count int) bool {
+	if r.inFlight+count > maxStartsInFlight {
+		return false
+	}
+	return r.maxRuns == 0 || r.runs+count <= r.maxRuns && len(j.Runs)+count <= max(r.maxRuns/jobDivisor, describer.MaxGang) &&
+		r.runsByQueue[j.Queue.Name]+count <= max(r.maxRuns/queueDivisor, describer.MaxGang)
+}
+
+// recordStart records that a task of a job was started.
+func (r *round) recordStart(j *tasker.Job) {
+	r.startedByJob[j]++
+	r.inFlight++
+	r.runs++
+	r.runsByQueue[j.Queue.Name]++
+}
+
+// isImpossible reports whether a task of a step was found not to fit on any worker, or one that needs less.
+// Long-running steps may have capacity reserved for them, so nothing is known of them.
+func (r *round) isImpossible(s *tasker.Step) bool {
+	if s.Spec.LongRunning {
+		return false
+	}
+	need := s.Spec.Charge()
+	for _, n := range r.impossible[kind{s.Job.Queue.Service, s.Spec.Label}] {
+		if n.Fits(need) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordImpossible records that no worker can take a task of a step, unless the reason may be the step itself.
+func (r *round) recordImpossible(s *tasker.Step) {
+	if s.Spec.LongRunning || s.Spec.MaxPerWorker > 0 || s.Job.Queue.NeedsAdvice() {
+		return
+	}
+	k := kind{s.Job.Queue.Service, s.Spec.Label}
+	if len(r.impossible[k]) < maxNeeds {
+		r.impossible[k] = append(r.impossible[k], s.Spec.Charge())
+	}
+}
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -51,6 +51,8 @@
 	History time.Duration
 	// RemoteFactor is how many times slower a task is on another rack than its data.
 	RemoteFactor float64
+	// MaxRuns is how many runs the holder may have active; 0 means any number.
+	MaxRuns int
 	// Observe adds a duration to the metric with the given name, and Count increments the
 	// counter with the given name.
 	Observe func(metric string, sample time.Duration)
--- a/internal/fleet/selector/selector.go
+++ b/internal/fleet/selector/selector.go
@@ -54,6 +54,24 @@
 	p.racks[w.Info.Rack]++
 }
 
+// HasRoom reports whether workers have room for all tasks of a step at once.
+func HasRoom(s *tasker.Step, workers []*monitor.Worker, now time.Time) bool {
+	missing := s.Spec.Count
+	for _, w := range workers {
+		if _, isAllowed := canPlace(s, w, Plan{}, now); !isAllowed {
+			continue
+		}
+		room := s.Spec.Charge().CountIn(w.FreeCapacityFor(s, now), missing)
+		if s.Spec.MaxPerWorker > 0 {
+			room = min(room, s.Spec.MaxPerWorker-s.RunsAt(w.Info.ID))
+		}
+		if missing -= room; missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Best returns the worker with the lowest score for a task and the ticket to use there, or nil
 // if no worker can take the task.
 func (c Selector) Best(t *tasker.Task, workers []*monitor.Worker, p Plan, now time.Time) (*monitor.Worker, string) {
@@ -79,6 +97,17 @@
 	return chosen, value
 }
 
+// Next is like Best for a member of a gang after one that got the worker last, whose score no other worker beats as
+// long as it has room: neither the runs nor the racks change that before the gang starts.
+func (c Selector) Next(last *monitor.Worker, t *tasker.Task, workers []*monitor.Worker, p Plan, now time.Time) (*monitor.Worker, string) {
+	if last != nil && len(t.FailedAt) == 0 {
+		if ticket, isAllowed := canPlace(t.Step, last, p, now); isAllowed {
+			return last, ticket
+		}
+	}
+	return c.Best(t, workers, p, now)
+}
+
 // canPlace reports whether a worker can take a task of a step, and returns the ticket to use.
 func canPlace(s *tasker.Step, w *monitor.Worker, p Plan, now time.Time) (string, bool) {
 	if !w.AcceptsTasks(now) || !Matches(s, w) || !s.Spec.Charge().Fits(w.FreeCapacityFor(s, now).Minus(p.charge[w.Info.ID])) {
