Refuse a job for which the hosts have no memory, by queue

Cause: each job was bounded by itself, the sum of the unfinished ones was not. A job of 21,000 steps in a request of 256 KB takes 8 MB, and every host keeps it until minutes after its end.

Of a job that has ended only what its state needs is kept. Accepted jobs are never dropped, so what several hosts accept before they read of each other's jobs is carried. A submission whose record names another job is not applied.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/accepter"
+	"lentilrock.example/internal/entry/accountant"
 	"lentilrock.example/internal/entry/announcer"
 	"lentilrock.example/internal/entry/cataloger"
 	"lentilrock.example/internal/entry/checker"
@@ -60,7 +61,7 @@
 	ErrNotReady = errors.New("the host does not know its cell yet")
 	// ErrJobNotFound means that the job, or a queue for a path, does not exist.
 	ErrJobNotFound = resolver.ErrJobNotFound
-	// ErrTooLarge means that the record of a job is larger than the store may accept.
+	// ErrTooLarge means that a job is larger than the store or the hosts of the cell can take.
 	ErrTooLarge = journaler.ErrTooLarge
 )
 
@@ -70,7 +71,9 @@
 	Incarnation string
 	DataCentre  string
 	// Cores is the host's processor share in cores, weighted by processor speed; may be below 1.
-	Cores       float64
+	Cores float64
+	// MemoryMB is the memory of the host in MiB; 0 if it is unknown.
+	MemoryMB    int64
 	PeerAddress netip.AddrPort
 	Store       storer.Store
 	Decoder     cataloger.Decoder
@@ -110,6 +113,8 @@
 
 	mu    sync.Mutex
 	state *journaler.State
+	// accountant bounds the memory of unfinished jobs.
+	accountant *accountant.Accountant
 	// catalog has the configuration, the waves of upkeep and the host list as read from the store.
 	catalog *cataloger.Catalog
 	// reads has what was read from the store, and when.
@@ -146,6 +151,7 @@
 		options: options, state: journaler.New(), catalog: cataloger.New(options.Decoder, options.Logger), holderOffset: -1,
 		claimsWaker: pauser.NewWaker(),
 	}
+	k.accountant = accountant.New(accountant.Options{MemoryMB: options.MemoryMB, Hosts: k.liveHosts})
 	k.repeater = repeater.New(repeater.Options{Store: options.Store, Check: k.readStore, Clock: options.Clock})
 	k.initPeers()
 	k.initCallers()
@@ -158,7 +164,7 @@
 	o := k.options
 	k.announcer = announcer.New(announcer.Options{
 		Self: journaler.Host{
-			Name: o.Name, Incarnation: o.Incarnation, Address: o.PeerAddress.String(), DataCentre: o.DataCentre, Cores: o.Cores,
+			Name: o.Name, Incarnation: o.Incarnation, Address: o.PeerAddress.String(), DataCentre: o.DataCentre, Cores: o.Cores, MemoryMB: o.MemoryMB,
 		},
 		Store: o.Store, Clock: o.Clock, Logger: o.Logger,
 	})
@@ -255,27 +261,12 @@
 	return k.holder != nil
 }
 
-// Counts are the values of the gauges of a host.
-type Counts struct {
-	ConfigVersion int64
-	Epoch         int64
-	// Holder and Ready are 1 if the host is the holder or ready, otherwise 0.
-	Holder  int
-	Ready   int
-	Jobs    int
-	Pending int
-	Workers int
-	// JobsAge and ClaimsAge are the times since the topics were last read.
-	JobsAge   time.Duration
-	ClaimsAge time.Duration
-}
-
 // Counts returns the current values of the gauges.
-func (k *Coordinator) Counts() Counts {
+func (k *Coordinator) Counts() measurer.Counts {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
-	counts := Counts{
+	counts := measurer.Counts{
 		ConfigVersion: k.catalog.Config.Version, Epoch: k.state.Claim.Epoch, Jobs: len(k.state.Jobs),
 		Workers: k.catalog.Size(), JobsAge: now.Sub(k.reads.JobsAt), ClaimsAge: now.Sub(k.reads.ClaimsAt),
 	}
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -126,9 +126,10 @@
 	addresses []netip.AddrPort
 	// hostStores are the stores as the hosts access them, by index of the host.
 	hostStores []*refusableStore
-	// cores is the processor share of the hosts that start next, pageDelay and listDelay the delays of
+	// cores and memoryMB are the resources of the hosts that start next, pageDelay and listDelay the delays of
 	// their lists of jobs.
 	cores     float64
+	memoryMB  int64
 	pageDelay time.Duration
 	listDelay time.Duration
 	// distance is the round trip between the store and the hosts that start next.
@@ -168,7 +169,7 @@
 	hostStore := &refusableStore{Store: c.store, pageDelay: c.pageDelay, listDelay: c.listDelay, distance: c.distance}
 	c.hostStores = append(c.hostStores, hostStore)
 	k := coordinator.New(coordinator.Options{
-		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, PeerAddress: address, Messenger: peers, Store: hostStore, Decoder: jsonDecoder{},
+		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, MemoryMB: c.memoryMB, PeerAddress: address, Messenger: peers, Store: hostStore, Decoder: jsonDecoder{},
 		Workers: c.fleet, Advisor: failingAdvisor{}, Clock: clockwork.NewRealClock(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -17,9 +17,17 @@
 // knows without asking its peers.
 const maxViewAge = follower.ReadWait + follower.JobsPause + 200*time.Millisecond
 
+// admit returns nil if the hosts of the cell have room for one more unfinished job. Errors are those of
+// accountant.Accountant.
+func (k *Coordinator) admit(job *describer.Job) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.accountant.Admit(k.now(), k.state, job)
+}
+
 // Submit persists a job; the job is accepted once Submit returns nil. Errors wrap
-// storer.ErrRefused, after which the job never runs, storer.ErrOutcomeUnknown, ErrNotReady or
-// ErrTooLarge.
+// storer.ErrRefused or *accountant.FullError, after which the job never runs, storer.ErrOutcomeUnknown,
+// ErrNotReady or ErrTooLarge.
 func (k *Coordinator) Submit(ctx context.Context, job *describer.Job) error {
 	if k.jobView(job.ID).IsKnown {
 		return nil
@@ -29,6 +37,9 @@
 	if err != nil {
 		return errors.Errorf("submit job %s: %w", job.ID, err)
 	}
+	if err := k.admit(job); err != nil {
+		return errors.Errorf("submit job %s: %w", job.ID, err)
+	}
 	return k.router.Persist(ctx, record)
 }
 
--- a/internal/entry/measurer/measurer.go
+++ b/internal/entry/measurer/measurer.go
@@ -20,6 +20,21 @@
 	"lentilrock.example/internal/fleet/orderer"
 )
 
+// Counts are the values of the gauges of a host.
+type Counts struct {
+	ConfigVersion int64
+	Epoch         int64
+	// Holder and Ready are 1 if the host is the holder or ready, otherwise 0.
+	Holder  int
+	Ready   int
+	Jobs    int
+	Pending int
+	Workers int
+	// JobsAge and ClaimsAge are the times since the topics were last read.
+	JobsAge   time.Duration
+	ClaimsAge time.Duration
+}
+
 // Buckets are the bounds of latency histograms. They range from a call within a data centre to
 // the longest time that callers wait.
 var Buckets = tally.DurationBuckets{
--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -242,6 +242,34 @@
 	return j.StartAt.Add(time.Duration(occurrence) * j.Interval)
 }
 
+// Footprint returns an estimate of the memory that an unfinished job takes on a host, in bytes.
+func (j *Job) Footprint() int64 {
+	const jobBytes, stepBytes = 2 << 10, 384
+	tasks, size := 0, jobBytes+len(j.Spec)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		tasks += s.Count
+		size += stepBytes + 8*len(s.After) + len(s.Label) + len(s.DataRack) + len(s.Image)
+	}
+	// Sets of the tasks and steps that are done take a bit for each, twice as many while they grow.
+	return int64(size + (tasks+len(j.Steps))*j.Occurrences()/4)
+}
+
+// ExpectedEnd returns when a job that was just received should end, going by the caller's estimates; zero if it
+// goes on until it is cancelled.
+func (j *Job) ExpectedEnd() time.Time {
+	path := j.CriticalPath(func(index int) time.Duration { return j.Steps[index].Estimate })
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			return time.Time{}
+		}
+	}
+	if j.Repeat > 0 {
+		return j.Due(j.Occurrences() - 1).Add(path)
+	}
+	return j.Received.Add(path)
+}
+
 // CriticalPath returns the length of the longest chain of steps of an occurrence that depend on each other. The
 // function returns the length of a step.
 func (j *Job) CriticalPath(length func(index int) time.Duration) time.Duration {
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -47,6 +47,15 @@
 // maxEpoch bounds the epoch of a claim, so that later claims and the numbers of their runs stay within their types.
 const maxEpoch = 1 << 40
 
+const (
+	// maxEndedSteps is the number of steps up to which they are kept of a job that has ended, for runs that a worker
+	// still lists.
+	maxEndedSteps = 16
+	// endedBytes and endedStepBytes are the memory that a job that has ended, and a step of it, take about.
+	endedBytes     = 1 << 10
+	endedStepBytes = 192
+)
+
 // ErrTooLarge means that the record of a job is larger than the store may accept.
 var ErrTooLarge = errors.New("the job is too large")
 
@@ -115,6 +124,8 @@
 	DataCentre  string `cbor:"4,keyasint"`
 	// Cores is the host's processor share in cores, weighted by processor speed; 0 if it is unknown.
 	Cores float64 `cbor:"5,keyasint,omitempty"`
+	// MemoryMB is the memory of the host in MiB; 0 if it is unknown.
+	MemoryMB int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // WaveProgress lists the machines of a wave whose upkeep has begun.
@@ -302,10 +313,35 @@
 	Cancel   Cancel
 	Progress Progress
 	// JobOffset is the offset of the submission in its topic.
-	JobOffset      int64
+	JobOffset int64
+	// ExpectedEnd is when the job should end, going by the caller's estimates; zero if that is unknown.
+	ExpectedEnd    time.Time
+	footprint      int64
 	progressOffset int64
 }
 
+// Footprint returns an estimate of the memory that the job takes on a host, in bytes.
+func (e *Entry) Footprint() int64 { return e.footprint }
+
+// setJob sets the job of the entry. Of one that has ended only what its state needs is kept: no spec, and no steps
+// if there are many.
+func (e *Entry) setJob(job *describer.Job) {
+	e.Job, e.ExpectedEnd = job, time.Time{}
+	switch err := job.Validate(); {
+	case e.Progress.Outcome != OutcomeNone:
+		ended := *job
+		if ended.Spec = ""; len(ended.Steps) > maxEndedSteps {
+			ended.Steps = nil
+		}
+		e.Job, e.footprint = &ended, int64(endedBytes+endedStepBytes*len(ended.Steps))
+	case err != nil:
+		// Its numbers mean nothing, and it ends at once.
+		e.footprint = endedBytes
+	default:
+		e.footprint, e.ExpectedEnd = job.Footprint(), job.ExpectedEnd()
+	}
+}
+
 // HasProgress reports whether a holder has persisted progress of the job. No holder starts a task
 // of the job before that.
 func (e *Entry) HasProgress() bool { return e.progressOffset >= 0 }
@@ -517,8 +553,12 @@
 	if err := cbor.Unmarshal(r.Value, &job); err != nil {
 		return nil, errors.Errorf("decode submission of job %q: %w", id, err)
 	}
+	if job.ID != id {
+		return nil, errors.Errorf("the submission of job %q names job %q", id, job.ID)
+	}
 	e := s.entry(id)
-	e.Job, e.JobOffset = &job, offset
+	e.JobOffset = offset
+	e.setJob(&job)
 	return e, nil
 }
 
@@ -535,6 +575,9 @@
 	e := s.entry(id)
 	if offset > e.progressOffset {
 		e.Progress, e.progressOffset = progress, offset
+		if e.Job != nil && progress.Outcome != OutcomeNone {
+			e.setJob(e.Job)
+		}
 	}
 	return e, nil
 }
