--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -48,9 +48,13 @@
 	return Resources{MilliCPU: r.MilliCPU * n, MemoryMB: r.MemoryMB * n, GPU: r.GPU * n}
 }
 
-// isWithin reports whether no amount is negative or over limit.
-func (r Resources) isWithin(limit int64) bool {
-	return min(r.MilliCPU, r.MemoryMB, r.GPU) >= 0 && max(r.MilliCPU, r.MemoryMB, r.GPU) <= limit
+// MaxAmount is the maximum of each resource that a task needs or a worker has. Sums over all runs of a worker stay
+// within their types.
+const MaxAmount = 1_000_000_000_000
+
+// IsValid reports whether no amount is negative or over MaxAmount.
+func (r Resources) IsValid() bool {
+	return min(r.MilliCPU, r.MemoryMB, r.GPU) >= 0 && max(r.MilliCPU, r.MemoryMB, r.GPU) <= MaxAmount
 }
 
 // Fits reports whether each amount of r is at most that of available.
@@ -165,8 +169,6 @@
 	MaxGang = 5000
 	// MaxDependencies is the maximum number of dependencies of all steps of a job together.
 	MaxDependencies = 100_000
-	// maxAmount is the maximum of each resource that a task needs.
-	maxAmount = 1_000_000_000_000
 	// maxDuration is the maximum of each duration of a job.
 	maxDuration = 10 * 365 * 24 * time.Hour
 )
@@ -218,8 +220,8 @@
 		return errors.Errorf("step %d has %d tasks, outside 1 to %d", index, s.Count, MaxTasks)
 	case s.Gang && s.Count > MaxGang:
 		return errors.Errorf("step %d is a gang of %d tasks, over %d", index, s.Count, MaxGang)
-	case !s.Need.isWithin(maxAmount):
-		return errors.Errorf("step %d needs %d thousandths of a core, %d MB and %d GPUs, outside 0 to %d each", index, s.Need.MilliCPU, s.Need.MemoryMB, s.Need.GPU, int64(maxAmount))
+	case !s.Need.IsValid():
+		return errors.Errorf("step %d needs %d thousandths of a core, %d MB and %d GPUs, outside 0 to %d each", index, s.Need.MilliCPU, s.Need.MemoryMB, s.Need.GPU, int64(MaxAmount))
 	case s.Estimate < 0 || s.Estimate > maxDuration:
 		return errors.Errorf("step %d has an estimate of %v, outside 0 to %v", index, s.Estimate, maxDuration)
 	}
