--- a/internal/entry/distributor/distributor.go
+++ b/internal/entry/distributor/distributor.go
@@ -27,6 +27,10 @@
 	// adviseKind is the message kind of the call by which a peer sends a request on behalf of
 	// the holder.
 	adviseKind = "advise"
+	// maxAdvised bounds the workers in a request of a peer; the service takes no more.
+	maxAdvised = 100
+	// maxServiceTime bounds a request of a peer. Those of other callers wait meanwhile.
+	maxServiceTime = 10 * time.Second
 	// replySlack is how much longer than the expected service time a request may take. It covers
 	// round trips between regions and delays on a busy host.
 	replySlack = 500 * time.Millisecond
@@ -251,7 +255,10 @@
 }
 
 func (a *Distributor) serveAdvise(ctx context.Context, _ messenger.Hello, request orderer.AdviceRequest) (orderer.Advice, error) {
-	callCtx, cancel := context.WithTimeout(ctx, clamper.Add(serviceTime(request), replySlack))
+	if len(request.Workers) > maxAdvised {
+		return orderer.Advice{}, errors.Errorf("a request for advice names %d workers, over %d", len(request.Workers), maxAdvised)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, min(clamper.Add(serviceTime(request), replySlack), maxServiceTime))
 	defer cancel()
 	return a.adviseLocally(callCtx, request)
 }
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -262,6 +262,9 @@
 }
 
 func (f *Forwarder) servePersist(ctx context.Context, _ messenger.Hello, record journaler.Record) (Outcome, error) {
+	if err := journaler.CheckForwarded(record); err != nil {
+		return OutcomeRefused, nil
+	}
 	persistCtx, cancel := context.WithTimeout(ctx, holderPersistTimeout)
 	defer cancel()
 	err := f.options.Persist(persistCtx, record)
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -293,6 +293,16 @@
 	return describer.JobID(id), found && len(r.Value) > 0
 }
 
+// CheckForwarded returns an error if a record is not one that a host forwards to a peer to persist: a submission, a
+// cancellation or a drain, of a size that the store accepts.
+func CheckForwarded(r Record) error {
+	isForwarded := strings.HasPrefix(r.Key, jobPrefix) || strings.HasPrefix(r.Key, cancelPrefix) || strings.HasPrefix(r.Key, drainPrefix)
+	if !isForwarded || len(r.Value) == 0 || len(r.Value) > maxJobBytes {
+		return errors.Errorf("record with key %q and %d bytes is none that a host forwards", r.Key, len(r.Value))
+	}
+	return nil
+}
+
 // IsRoster reports whether a record is a roster.
 func IsRoster(r Record) bool { return r.Key == rosterKey }
 
