--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # The tests that KNOWN-RED.txt lists, which CI passes over and prints.
 KNOWN_RED := $(shell sed -n 's/^- test: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|')
 
-.PHONY: all bench build demo fmt lint model mutants replay test
+.PHONY: all bench build demo fmt fuzz lint model mutants replay test
 
 all: build
 
@@ -24,6 +24,9 @@
 fmt:
 	gofmt -l -w .
 
+fuzz:
+	bash scripts/fuzz.sh
+
 lint:
 	golangci-lint run ./...
 
