Acknowledge results with short polls, and wait for those without a reply

Cause: a poll acknowledges results by number, and each life of a worker numbers its results anew. Every poll that waits for an end carried the last number, so that one was always in flight at a crash.

Change: a poll acknowledges each result once, and the worker replies to it at once; polls that wait acknowledge nothing. After one that got no reply, a worker that has restarted since gets no tasks until 12 s after that poll was sent. That costs a poll after each group of ends.

--- a/internal/fleet/acknowledger/acknowledger.go
+++ b/internal/fleet/acknowledger/acknowledger.go
@@ -8,7 +8,7 @@
 //		results.AwaitBatch(end.Number, batch)
 //	}
 //	results.MarkDurable(batch)
-//	poll.Acknowledged = results.Acknowledged()
+//	poll.Acknowledged = results.Unconfirmed()
 package acknowledger
 
 // pendingResult is a result that may be acknowledged once its batch is durable.
@@ -22,7 +22,9 @@
 type ResultTracker struct {
 	received     int64
 	acknowledged int64
-	pending      []pendingResult
+	// confirmed is the number up to which the worker has confirmed that it has forgotten the results.
+	confirmed int64
+	pending   []pendingResult
 }
 
 // Record records a result and reports whether it is new.
@@ -49,5 +51,14 @@
 	e.pending = e.pending[count:]
 }
 
-// Acknowledged returns the number of the last result that the worker may forget.
-func (e *ResultTracker) Acknowledged() int64 { return e.acknowledged }
+// Unconfirmed returns the number of the last result that the worker may forget, or 0 if the worker has confirmed
+// all of them.
+func (e *ResultTracker) Unconfirmed() int64 {
+	if e.acknowledged == e.confirmed {
+		return 0
+	}
+	return e.acknowledged
+}
+
+// Confirm records that the worker has forgotten the results up to a number.
+func (e *ResultTracker) Confirm(number int64) { e.confirmed = max(e.confirmed, number) }
--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -28,6 +28,8 @@
 	// shortDelay is the usual delay of an order or a reply at most. Only such a one crosses a restart of its
 	// worker, whose connections break.
 	shortDelay = 12 * time.Millisecond
+	// maxLateness is how late a call without a reply may be carried out.
+	maxLateness = 12 * time.Second
 	// chaosMaxLease is the longest lease that workers accept.
 	chaosMaxLease = 6 * time.Second
 	// actsAfter is how long a former holder may act after its successor's claim.
@@ -141,7 +143,7 @@
 
 // exchange sends an order to a worker. It is executed at once, late or not at all, and its reply may be lost.
 // When the worker restarts, late orders are gone, and the connections of the others mostly break.
-func (x *chaos) exchange(a *actor, worker string, timeout time.Duration, execute func(done func(reply func())), onFailure func(verdict orderer.Verdict)) {
+func (x *chaos) exchange(a *actor, worker string, mayOutlive bool, timeout time.Duration, execute func(done func(reply func())), onFailure func(verdict orderer.Verdict)) {
 	isAnswered := false
 	answer := func(run func()) {
 		if !isAnswered && !a.isGone {
@@ -154,26 +156,22 @@
 	isLate, isLost := x.chance(2), x.chance(2)
 	delay := x.delay()
 	life, isBroken := x.lives[worker], false
-	// An order whose connection is being opened may reach the next life.
+	// An order whose connection is being opened may reach the next life, and so may a late poll.
 	survives := !isLate && delay <= shortDelay && x.chance(50)
+	outlives := isLate && mayOutlive && x.chance(50)
 	x.onRestart[worker] = append(x.onRestart[worker], func() {
-		if isBroken = !survives; isBroken && x.chance(70) {
+		if isBroken = !survives && !outlives; isBroken && x.chance(70) {
 			x.after(x.delay(), fail)
 		}
 	})
 	if a.unreachable[worker] || x.chance(2) {
 		return
 	}
-	if x.lives[worker] > a.seen[worker] {
-		// The holder does not know of the restart. An order on a new connection arrives soon; a later one could
-		// acknowledge results of the new life by the numbers of the former one, which nothing guards against.
-		delay, isLate = min(delay, shortDelay), false
-	}
 	if isLate {
-		delay = x.between(timeout, 4*time.Second)
+		delay = x.between(timeout, maxLateness)
 	}
 	x.after(delay, func() {
-		if isBroken || isLate && x.lives[worker] != life {
+		if isBroken || isLate && x.lives[worker] != life && !outlives {
 			return
 		}
 		execute(func(reply func()) {
@@ -207,7 +205,7 @@
 	const timeout = 500 * time.Millisecond
 	answer := func(verdict orderer.Verdict, apply func(orderer.Verdict)) func() { return func() { apply(verdict) } }
 	simple := func(worker string, carryOut func() orderer.Verdict, apply func(orderer.Verdict)) {
-		x.exchange(a, worker, timeout, func(done func(func())) {
+		x.exchange(a, worker, false, timeout, func(done func(func())) {
 			if verdict := carryOut(); verdict != orderer.Unknown {
 				done(answer(verdict, apply))
 			}
@@ -253,7 +251,7 @@
 		}
 		x.after(pause, next)
 	}
-	x.exchange(a, poll.Worker.ID, poll.Wait+600*time.Millisecond, func(done func(func())) {
+	x.exchange(a, poll.Worker.ID, true, poll.Wait+600*time.Millisecond, func(done func(func())) {
 		x.answerPoll(poll, x.clock.Now().Add(poll.Wait), done, finish)
 	}, func(v orderer.Verdict) { finish(orderer.Inventory{}, v) })
 }
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -38,6 +38,8 @@
 	// maxStartsInFlight bounds the starts without a verdict, as more than the connections to a worker can
 	// carry would wait for one until they time out.
 	maxStartsInFlight = 24
+	// maxLateness is how long after it was sent a call without a reply may be carried out.
+	maxLateness = 12 * time.Second
 	// maxRuns bounds the runs on a worker, which lists all of them in each reply to a poll.
 	maxRuns = 1024
 	// maxStartTimeout is the upper bound of the timeout of a start.
@@ -114,6 +116,9 @@
 	// pollsInFlight counts the polls without a reply so far, and stalePolls those of them that were
 	// sent before the worker began its current incarnation.
 	pollsInFlight, stalePolls int
+	// lostAcknowledgementAt is when the newest poll to the current incarnation was sent that acknowledges results and
+	// got no reply. mayDiscardUntil is until when such a poll to a former incarnation may arrive.
+	lostAcknowledgementAt, mayDiscardUntil time.Time
 	// startsInFlight counts the starts without a verdict so far.
 	startsInFlight int
 	// HasFailedPoll reports that the last poll of the worker failed: it got no reply, or a reply
@@ -184,12 +189,12 @@
 }
 
 // AcceptsTasks reports whether tasks may be started on the worker. The host list entry and the
-// replies must be of the same incarnation, since another one may have a different capacity. A poll that was
-// sent to a former incarnation acknowledges results by number, so the worker gets no tasks until it is back:
-// it would discard the results of the current incarnation.
+// replies must be of the same incarnation, since another one may have a different capacity. The worker gets no tasks
+// until polls that were sent to a former incarnation are back, and none can arrive any more that acknowledges results by
+// their numbers: it would discard those of the current one, and their tasks would run again.
 func (w *Worker) AcceptsTasks(now time.Time) bool {
 	isSameIncarnation := w.Info.Incarnation == 0 || w.Info.Incarnation == w.Incarnation
-	isResponsive := w.stalePolls == 0 && w.startsInFlight < maxStartsInFlight && len(w.Runs) < maxRuns && w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
+	isResponsive := w.stalePolls == 0 && !now.Before(w.mayDiscardUntil) && w.startsInFlight < maxStartsInFlight && len(w.Runs) < maxRuns && w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
 	return w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && !w.IsDrained && isSameIncarnation && isResponsive && w.Breaker.AllowsStarts(now)
 }
 
@@ -197,6 +202,8 @@
 func (w *Worker) BeginIncarnation(incarnation int64, now time.Time) {
 	w.Incarnation, w.IncarnationAt, w.ReplyClock, w.IsLeaving = incarnation, now, 0, false
 	w.stalePolls = w.pollsInFlight
+	w.expectAcknowledgement(w.lostAcknowledgementAt)
+	w.lostAcknowledgementAt = time.Time{}
 	w.Results, w.Breaker, w.Pacer = acknowledger.ResultTracker{}, breaker.Breaker{}, pacer.Pacer{}
 }
 
@@ -209,6 +216,22 @@
 // StartEnded records the verdict on a start.
 func (w *Worker) StartEnded() { w.startsInFlight = max(w.startsInFlight-1, 0) }
 
+// AcknowledgementLost records that a poll to an incarnation which acknowledges results got no reply. It may still arrive.
+func (w *Worker) AcknowledgementLost(incarnation int64, sentAt time.Time) {
+	if incarnation == w.Incarnation {
+		w.lostAcknowledgementAt = sentAt
+		return
+	}
+	w.expectAcknowledgement(sentAt)
+}
+
+// expectAcknowledgement records that a poll to a former incarnation may still arrive.
+func (w *Worker) expectAcknowledgement(sentAt time.Time) {
+	if until := sentAt.Add(maxLateness); until.After(w.mayDiscardUntil) {
+		w.mayDiscardUntil = until
+	}
+}
+
 // PollSent records that a poll is in flight.
 func (w *Worker) PollSent() { w.pollsInFlight++ }
 
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -105,15 +105,23 @@
 // NextPoll returns the next poll of a worker's inventory. The poll extends the lease only if
 // the worker replied to the last one and has replied under the current fencing token before, so
 // that the leases of all other workers expire and their runs can be given up. Likewise it acknowledges
-// results only then: a worker that did not reply may have restarted, and its results are numbered anew.
+// results only then, in polls to which the worker replies at once: one that did not reply may have restarted, and
+// its results are numbered anew.
 func (s *Reconciler) NextPoll(w *monitor.Worker) orderer.Poll {
-	now := s.Now
-	poll := orderer.Poll{Worker: w.Info, Token: s.Options.Epoch, SentAt: now, Incarnation: w.Incarnation}
+	poll := s.nextPoll(w)
+	if number := w.Results.Unconfirmed(); poll.Wait > 0 && number > 0 {
+		poll.Wait, poll.Acknowledged = 0, number
+	}
+	return poll
+}
+
+// nextPoll returns a poll that acknowledges nothing.
+func (s *Reconciler) nextPoll(w *monitor.Worker) orderer.Poll {
+	poll := orderer.Poll{Worker: w.Info, Token: s.Options.Epoch, SentAt: s.Now, Incarnation: w.Incarnation}
 	w.PollSent()
 	if w.IsSynced && !w.HasFailedPoll {
-		poll.Acknowledged = w.Results.Acknowledged()
 		poll.Wait = s.Options.PollWait
-		poll.Deadline = w.Lease.Extend(now, s.Options.Lease)
+		poll.Deadline = w.Lease.Extend(s.Now, s.Options.Lease)
 	}
 	return poll
 }
@@ -121,7 +129,7 @@
 // PollNow orders an extra poll, to which the worker replies at once. It acknowledges nothing: the worker may
 // have restarted while the usual poll has no reply, and its results are then numbered anew.
 func (s *Reconciler) PollNow(w *monitor.Worker) {
-	poll := s.NextPoll(w)
-	poll.Wait, poll.Acknowledged = 0, 0
+	poll := s.nextPoll(w)
+	poll.Wait = 0
 	s.Order(poll)
 }
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -30,6 +30,13 @@
 	// The entry of another writer may name a wrong address, whose silence says nothing about the worker.
 	isItsAddress := !w.RepliedFrom.IsValid() || w.RepliedFrom == poll.Worker.Address
 	w.PollEnded(poll.Incarnation)
+	switch {
+	case poll.Acknowledged == 0:
+	case verdict == orderer.Unknown:
+		w.AcknowledgementLost(poll.Incarnation, poll.SentAt)
+	case verdict == orderer.Accepted && inventory.Incarnation == poll.Incarnation && poll.Incarnation == w.Incarnation:
+		w.Results.Confirm(poll.Acknowledged)
+	}
 	switch verdict {
 	case orderer.Accepted:
 		if w.Incarnation == inventory.Incarnation && inventory.Clock < w.ReplyClock {
