Let the roster tell restarts, and divide a large one

A successor counted on the longest lease that a former holder grants, 3.5 s. A worker that restarted just before the takeover takes an order's deadline, which is on the clock of its former life, for the longest lease that it accepts, 6 s. If the successor can't reach it, its tasks started elsewhere while they still ran there (TWICE). The roster now has the incarnation that the holder knew, and whether the worker has just restarted; a successor waits for the longest lease if so, or if the host list names another incarnation. A worker that restarted unnoticed and whose entry is missing is not covered.

The roster was one record of 30 to 40 bytes a worker, and the holder repeats its append for ever if the store refuses it: from some 6,000 workers on nothing would be persisted any more. With over 2,000 workers it is in 16 records now, by a hash of the worker's ID, so that each is right by itself; the one that says so comes last.

--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -72,7 +72,7 @@
 		entries = append(entries, state.Jobs[id])
 		d.JobChanged(now, state.Jobs[id])
 	}
-	d.watcher.Restore(state.Roster, entries)
+	d.watcher.Restore(state.Members(), entries)
 	return d
 }
 
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -176,6 +176,30 @@
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireInvariants()
 	})
+	t.Run("a worker that restarted just before the takeover may have a longer lease than the former holder granted", func(t *testing.T) {
+		c := newCell(t, 2)
+		c.fleet.MaxLease = chaosMaxLease
+		c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
+		c.claim()
+		c.run(20 * time.Second)
+		step := tasks(1)
+		step.LongRunning = true
+		c.submit("a", describer.Queue{}, step)
+		c.save()
+		c.d.Tick(c.clock.Now())
+		for _, order := range c.d.TakeOrders() {
+			// The start arrives in the next life of its worker, whose clock is far behind the deadline.
+			start, isStart := order.(orderer.Start)
+			require.True(t, isStart)
+			c.fleet.Restart(start.Worker.ID, 2)
+			require.Equal(t, orderer.Accepted, c.fleet.Start(t.Context(), start))
+			c.fleet.Update(start.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
+		}
+		c.claim()
+		c.run(10 * time.Second)
+		require.NotEmpty(t, c.starts)
+		c.requireInvariants()
+	})
 	t.Run("a new holder expects only the persisted runs on a worker that was unresponsive before", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.submit("a", describer.Queue{}, tasks(16))
--- a/internal/fleet/dispatcher/record_test.go
+++ b/internal/fleet/dispatcher/record_test.go
@@ -30,7 +30,8 @@
 		},
 		func() (journaler.Record, error) { return journaler.NewClaim(journaler.Claim{Epoch: 9, Lease: -1}) },
 		func() (journaler.Record, error) {
-			return journaler.NewRoster(journaler.Roster{Epoch: 1, Members: []journaler.Member{{ID: "w-0"}, {ID: "w-0"}}})
+			records, err := journaler.NewRoster(journaler.Roster{Epoch: 1, Members: []journaler.Member{{ID: "w-0"}, {ID: "w-0"}}})
+			return records[0], err
 		},
 		func() (journaler.Record, error) { return journaler.NewCancel(job.ID, journaler.Cancel{}) },
 		func() (journaler.Record, error) {
--- a/internal/fleet/journaler/forwarded_test.go
+++ b/internal/fleet/journaler/forwarded_test.go
@@ -20,7 +20,7 @@
 	}
 	for _, r := range []journaler.Record{
 		newRecord(t, journaler.NewClaim, journaler.Claim{Epoch: 1}), newRecord(t, journaler.NewHeartbeat, journaler.Heartbeat{Epoch: 1}),
-		newRecord(t, journaler.NewRoster, journaler.Roster{}), {Key: "p/a", Value: []byte{1}}, {Key: "j/a"}, {Key: "", Value: []byte{1}},
+		{Key: "w", Value: []byte{1}}, {Key: "w/1", Value: []byte{1}}, {Key: "p/a", Value: []byte{1}}, {Key: "j/a"}, {Key: "", Value: []byte{1}},
 		{Key: "j/a", Value: make([]byte, 192<<10+1)},
 	} {
 		require.Error(t, journaler.CheckForwarded(r), "%q", r.Key)
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -16,7 +16,6 @@
 package journaler
 
 import (
-	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -35,7 +34,6 @@
 	hostPrefix     = "h/"
 	jobPrefix      = "j/"
 	progressPrefix = "p/"
-	rosterKey      = "w"
 	wavePrefix     = "u/"
 	cancelPrefix   = "x/"
 )
@@ -82,22 +80,6 @@
 	Epoch int64 `cbor:"1,keyasint"`
 }
 
-// Member is a worker on which runs of the holder may be active.
-type Member struct {
-	ID      string         `cbor:"1,keyasint"`
-	Address netip.AddrPort `cbor:"2,keyasint"`
-	// IsUnresponsive reports that the worker was unresponsive. The persisted progress of the
-	// jobs then lists every run that may be active on it, since no others were started there.
-	IsUnresponsive bool `cbor:"3,keyasint,omitempty"`
-}
-
-// Roster lists the workers on which runs of the holder may be active. A live worker can be missing
-// from the host list, and a successor must poll its inventory nevertheless.
-type Roster struct {
-	Epoch   int64    `cbor:"1,keyasint"`
-	Members []Member `cbor:"2,keyasint"`
-}
-
 // Cancel requests that a job is cancelled.
 type Cancel struct {
 	At time.Time `cbor:"1,keyasint"`
@@ -238,9 +220,6 @@
 	return r, err
 }
 
-// NewRoster returns the record of a roster.
-func NewRoster(r Roster) (Record, error) { return record(rosterKey, r) }
-
 // NewWave returns the record of the progress of a wave.
 func NewWave(w WaveProgress) (Record, error) {
 	return record(wavePrefix+strconv.FormatInt(w.Number, 10), w)
@@ -303,9 +282,6 @@
 	return nil
 }
 
-// IsRoster reports whether a record is a roster.
-func IsRoster(r Record) bool { return r.Key == rosterKey }
-
 // HostOf returns the name of the entry host that a record announces; false for other records.
 func HostOf(r Record) (string, bool) { return strings.CutPrefix(r.Key, hostPrefix) }
 
@@ -382,13 +358,14 @@
 	HolderOffset int64
 	Jobs         map[describer.JobID]*Entry
 	Hosts        map[string]Host
-	Roster       Roster
 	// Drains are the drains, including ended ones, by "kind/name".
 	Drains map[string]Drain
 	// Waves has the progress of waves, by number.
 	Waves map[int64]WaveProgress
 	// offsets has the offsets of the newest records of the roster, the hosts and the drains, by key.
 	offsets map[string]int64
+	// rosters are the parts of the newest roster; only the first one is used if it has no others.
+	rosters [rosterParts]Roster
 }
 
 // New returns the state before any record.
@@ -424,7 +401,7 @@
 	switch {
 	case r.Key == heartbeatKey:
 		return nil, s.applyHeartbeat(r, offset)
-	case r.Key == rosterKey:
+	case IsRoster(r):
 		return nil, s.applyRoster(r, offset)
 	case strings.HasPrefix(r.Key, wavePrefix):
 		return nil, s.applyWave(r, offset)
@@ -477,18 +454,6 @@
 	return nil
 }
 
-func (s *State) applyRoster(r Record, offset int64) error {
-	var roster Roster
-	if err := cbor.Unmarshal(r.Value, &roster); err != nil {
-		return errors.Errorf("decode roster: %w", err)
-	}
-	s.recordHolderOffset(roster.Epoch, offset)
-	if offset >= s.offsets[r.Key] {
-		s.Roster, s.offsets[r.Key] = roster, offset
-	}
-	return nil
-}
-
 // applyDrain records the newest drain, or its end, for a worker or rack. The log order decides which
 // is newest, as the clocks of operators may differ.
 func (s *State) applyDrain(r Record, offset int64) error {
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -108,6 +108,10 @@
 	HasListedResults bool
 	// Incarnation is the incarnation that sent the last reply; 0 before the first reply.
 	Incarnation int64
+	// FormerIncarnation is the incarnation that the former holder knew; 0 if it knew none.
+	FormerIncarnation int64
+	// longestLeaseUntil is until when the worker may have the longest lease, as it has restarted; zero if it can't.
+	longestLeaseUntil time.Time
 	// IncarnationAt is when the first reply of the incarnation arrived.
 	IncarnationAt time.Time
 	// RepliedAt is when the last reply arrived, and RepliedFrom the address from which it came.
@@ -216,6 +220,27 @@
 // StartEnded records the verdict on a start.
 func (w *Worker) StartEnded() { w.startsInFlight = max(w.startsInFlight-1, 0) }
 
+// HasRestartedUnnoticed reports whether the worker has begun another incarnation than the former holder knew, and has not
+// replied to this one. Such a worker may have a longer lease than the former holder has granted.
+func (w *Worker) HasRestartedUnnoticed(incarnation int64) bool {
+	return !w.IsSynced && w.FormerIncarnation != 0 && incarnation != 0 && incarnation != w.FormerIncarnation
+}
+
+// BeginLongestLease records until when the worker may have the longest lease.
+func (w *Worker) BeginLongestLease(until time.Time) { w.longestLeaseUntil = until }
+
+// HasLongestLease reports whether the worker may have the longest lease.
+func (w *Worker) HasLongestLease() bool { return !w.longestLeaseUntil.IsZero() }
+
+// EndLongestLease reports whether the longest lease has just expired.
+func (w *Worker) EndLongestLease(now time.Time) bool {
+	if w.longestLeaseUntil.IsZero() || now.Before(w.longestLeaseUntil) {
+		return false
+	}
+	w.longestLeaseUntil = time.Time{}
+	return true
+}
+
 // AcknowledgementLost records that a poll to an incarnation which acknowledges results got no reply. It may still arrive.
 func (w *Worker) AcknowledgementLost(incarnation int64, sentAt time.Time) {
 	if incarnation == w.Incarnation {
--- a/internal/fleet/persister/persister.go
+++ b/internal/fleet/persister/persister.go
@@ -96,7 +96,7 @@
 		if err != nil {
 			jobErrs = errors.Join(jobErrs, errors.Errorf("create interim roster record: %w", err))
 		} else {
-			records = slices.Insert(records, 0, interim)
+			records = slices.Insert(records, 0, interim...)
 		}
 	}
 	for _, id := range s.forgotten {
@@ -107,11 +107,11 @@
 	records = append(records, waves...)
 	errs := errors.Join(jobErrs, waveErrs)
 	if s.isRosterStale {
-		record, err := s.takeRoster(epoch, workers)
+		roster, err := s.takeRoster(epoch, workers)
 		if err != nil {
 			return records, s.taken, errors.Join(errs, errors.Errorf("create roster record: %w", err))
 		}
-		records = append(records, record)
+		records = append(records, roster...)
 	}
 	return records, s.taken, errs
 }
@@ -171,21 +171,24 @@
 	return size
 }
 
-// newRoster returns the record of the workers on which runs may be active.
-func newRoster(epoch int64, workers []*monitor.Worker, isUnresponsive func(w *monitor.Worker) bool) (journaler.Record, error) {
+// newRoster returns the records of the workers on which runs may be active.
+func newRoster(epoch int64, workers []*monitor.Worker, isUnresponsive func(w *monitor.Worker) bool) ([]journaler.Record, error) {
 	roster := journaler.Roster{Epoch: epoch}
 	for _, w := range workers {
-		roster.Members = append(roster.Members, journaler.Member{ID: w.Info.ID, Address: w.Info.Address, IsUnresponsive: isUnresponsive(w)})
+		roster.Members = append(roster.Members, journaler.Member{
+			ID: w.Info.ID, Address: w.Info.Address, IsUnresponsive: isUnresponsive(w),
+			Incarnation: cmp.Or(w.Incarnation, w.Info.Incarnation), HasLongestLease: w.HasLongestLease(),
+		})
 	}
 	return journaler.NewRoster(roster)
 }
 
-// takeRoster returns the record of the workers on which runs may be active. It clears the stale
+// takeRoster returns the records of the workers on which runs may be active. It clears the stale
 // flag and sets the batch in the workers that are not enrolled yet.
-func (s *Persister) takeRoster(epoch int64, workers []*monitor.Worker) (journaler.Record, error) {
-	record, err := newRoster(epoch, workers, func(w *monitor.Worker) bool { return w.IsUnresponsive })
+func (s *Persister) takeRoster(epoch int64, workers []*monitor.Worker) ([]journaler.Record, error) {
+	records, err := newRoster(epoch, workers, func(w *monitor.Worker) bool { return w.IsUnresponsive })
 	if err != nil {
-		return record, err
+		return nil, err
 	}
 	s.isRosterStale = false
 	for _, w := range workers {
@@ -194,7 +197,7 @@
 			w.RosterBatch = s.taken
 		}
 	}
-	return record, nil
+	return records, nil
 }
 
 // MarkDurable records that all batches up to the given one are durable.
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -133,6 +133,8 @@
 		// Deadlines on the clock of the former incarnation lie far ahead of that of the new one, which takes
 		// the longest lease that it accepts.
 		w.Lease.Cover(wt.Now, wt.Options.MaxLease)
+		w.BeginLongestLease(wt.Now.Add(leaser.ExpiryOf(wt.Options.MaxLease)))
+		wt.Persister.MarkRosterChanged()
 	}
 	w.BeginIncarnation(incarnation, wt.Now)
 	needsPoll := false
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -72,6 +72,9 @@
 		if found && info.Draining && !w.Info.Draining {
 			wt.Report("A worker is draining. It gets no new tasks.", "worker", info.ID, "remaining", info.Remaining, "runs", len(w.Runs))
 		}
+		if w.HasRestartedUnnoticed(info.Incarnation) {
+			wt.expectLongestLease(w)
+		}
 		w.Info, w.IsListed, w.UnlistedAt = info, true, time.Time{}
 	}
 	for _, w := range wt.Ordered {
@@ -84,9 +87,15 @@
 
 // Restore adds the workers of the roster that a former holder persisted, and the runs that it
 // persisted for unresponsive workers.
-func (wt *Watcher) Restore(roster journaler.Roster, jobs []*journaler.Entry) {
-	for _, member := range roster.Members {
+func (wt *Watcher) Restore(members []journaler.Member, jobs []*journaler.Entry) {
+	for _, member := range members {
+		if wt.Workers[member.ID] != nil {
+			continue
+		}
 		w := wt.add(describer.Worker{ID: member.ID, Address: member.Address})
+		if w.FormerIncarnation = member.Incarnation; member.HasLongestLease {
+			wt.expectLongestLease(w)
+		}
 		w.IsUnresponsive, w.IsListedUnresponsive, w.IsEnrolled = member.IsUnresponsive, member.IsUnresponsive, !member.IsUnresponsive
 	}
 	for _, entry := range jobs {
@@ -103,6 +112,12 @@
 	return w
 }
 
+// expectLongestLease allows for the longest lease that a worker accepts, which it took from a former holder as it had
+// just begun: deadlines on the clock of its former incarnation lie far ahead of its own.
+func (wt *Watcher) expectLongestLease(w *monitor.Worker) {
+	w.Lease.Cover(wt.ClaimedAt.Add(renewalSlack), wt.Options.MaxLease)
+}
+
 // removeExpired removes the workers that are not listed, have no runs and no valid lease.
 func (wt *Watcher) removeExpired() {
 	wt.Ordered = slices.DeleteFunc(wt.Ordered, func(w *monitor.Worker) bool {
@@ -130,6 +145,9 @@
 // repeats its unacknowledged stops.
 func (wt *Watcher) tickWorker(w *monitor.Worker) {
 	isGone := w.HasExpired(wt.Now) || w.HasLeft()
+	if w.EndLongestLease(wt.Now) {
+		wt.Persister.MarkRosterChanged()
+	}
 	wt.trackResponses(w)
 	for _, r := range w.Runs {
 		switch {
