Fail a job whose progress the store does not take

Such a record was left out and the batch counted as durable, so that the worker was told to discard the results in it; after a takeover their tasks ran again (TWICE).

Change: the batch stays open, the job fails with the reason, and its outcome, a few bytes, makes the batch durable. A takeover before that still finds the results at the workers.

Evidence: two new cases of TestTakeover. Before, MarkDurable was called for the batch whatever had been left out, which the first case would show as acknowledged results; the function that it calls is new.

--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -361,7 +361,13 @@
 				return
 			}
 		}
-		h.update(func(_ time.Time, d *dispatcher.Dispatcher) { d.MarkDurable(batch) })
+		h.update(func(now time.Time, d *dispatcher.Dispatcher) {
+			// Results in progress that is not persisted must not be acknowledged: the batch becomes durable with
+			// the next one, which has the outcome of these jobs.
+			if !d.FailRejected(now, rejected) {
+				d.MarkDurable(batch)
+			}
+		})
 		for _, s := range submissions {
 			if rejected[s.record.Key] {
 				s.reply <- errors.Errorf("submit job %s: %w", s.id, storer.ErrRefused)
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -267,6 +267,28 @@
 	return records, batch
 }
 
+// FailRejected fails the jobs whose progress is among the keys of records that the store does not take: what is done of
+// them can't be persisted, so that a later holder would run it again. It returns false if there are none that have
+// not ended.
+func (d *Dispatcher) FailRejected(now time.Time, keys map[string]bool) bool {
+	r := d.registrar
+	r.Now = now
+	hasFailed := false
+	for _, key := range sorter.Keys(keys) {
+		id, isProgress := journaler.ProgressOf(key)
+		j, found := r.Jobs[id]
+		if !isProgress || !found || j.IsOver() {
+			continue
+		}
+		j.Outcome, j.Reason = journaler.OutcomeFailed, "the store does not take the progress of the job"
+		r.Report("A job failed, since the store does not take its progress.", "job", id)
+		r.Persister.MarkChanged(j)
+		d.reconciler.StopAll(j)
+		hasFailed = true
+	}
+	return hasFailed
+}
+
 // MarkDurable confirms that all batches up to the given one are persisted. From then on the results
 // of ended runs in them are acknowledged to the workers, which may discard them.
 func (d *Dispatcher) MarkDurable(batch int64) {
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -162,6 +163,39 @@
 		poll, _ = c.d.NextPoll(c.clock.Now(), "w-0")
 		require.Zero(t, poll.Acknowledged, "a confirmed result is acknowledged again")
 	})
+	t.Run("a result is not acknowledged if the store does not take the progress, and the job fails instead", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.submit("a", describer.Queue{}, tasks(8))
+		c.submit("b", describer.Queue{}, tasks(1))
+		c.run(4 * tickInterval)
+		c.isStoreDown = true
+		c.run(2 * runTime)
+		records, batch := c.d.TakeProgress()
+		records = slices.DeleteFunc(records, func(r journaler.Record) bool { return r.Key == "p/a" })
+		c.append(records...)
+		require.True(t, c.d.FailRejected(c.clock.Now(), map[string]bool{"p/a": true, "j/b": true}))
+		poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
+		require.Zero(t, poll.Acknowledged, "batch %d", batch)
+		c.claim()
+		c.isStoreDown = false
+		c.run(3 * runTime)
+		require.Equal(t, describer.JobCompleted, c.stateOf("a"), "the results are still there for a later holder")
+		require.Equal(t, describer.JobCompleted, c.stateOf("b"))
+		c.requireInvariants()
+	})
+	t.Run("a job whose progress the store does not take has failed once that is persisted", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.submit("a", describer.Queue{}, tasks(8))
+		c.run(4 * tickInterval)
+		require.True(t, c.d.FailRejected(c.clock.Now(), map[string]bool{"p/a": true}))
+		require.False(t, c.d.FailRejected(c.clock.Now(), map[string]bool{"p/a": true}), "it has failed already")
+		c.run(2 * runTime)
+		require.Equal(t, describer.JobFailed, c.stateOf("a"))
+		require.Zero(t, c.countRunning())
+		c.claim()
+		c.run(2 * runTime)
+		require.Equal(t, describer.JobFailed, c.stateOf("a"))
+	})
 	t.Run("a task that may run on an unresponsive worker is not restarted before the lease expires", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.submit("a", describer.Queue{}, tasks(8))
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -282,6 +282,12 @@
 	return nil
 }
 
+// ProgressOf returns the ID of the job whose progress has a key; false for other keys.
+func ProgressOf(key string) (describer.JobID, bool) {
+	id, found := strings.CutPrefix(key, progressPrefix)
+	return describer.JobID(id), found
+}
+
 // HostOf returns the name of the entry host that a record announces; false for other records.
 func HostOf(r Record) (string, bool) { return strings.CutPrefix(r.Key, hostPrefix) }
 
