--- a/internal/entry/accountant/accountant_test.go
+++ b/internal/entry/accountant/accountant_test.go
@@ -83,13 +83,15 @@
 	})
 	t.Run("a host that reads the jobs of others knows their sum", func(t *testing.T) {
 		c, a := newCell(t)
-		fill(c, a, "a", now)
+		admitted, _ := fill(c, a, "a", now)
+		require.Positive(t, admitted)
 		other := newAccountant(memoryMB)
 		require.Error(t, other.Admit(now, c.state, c.newJob("a", 10)))
 	})
 	t.Run("there is room again when jobs have ended, as the refusal says", func(t *testing.T) {
 		c, a := newCell(t)
-		fill(c, a, "a", now)
+		admitted, _ := fill(c, a, "a", now)
+		require.Positive(t, admitted)
 		_, refusal := fill(c, a, "a", now.Add(4*time.Second))
 		require.Equal(t, 7*time.Second, refusal.RetryAfter)
 		for id := range c.state.Jobs {
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -154,7 +154,7 @@
 		inventory, _ := c.inventory(poll)
 		require.Len(t, inventory.Results, 1)
 		c.isStoreDown = false
-		c.runUntilUnconfirmed("w-0", 1)
+		c.runUntilUnconfirmed(1)
 		poll, _ = c.d.NextPoll(c.clock.Now(), "w-0")
 		require.Equal(t, int64(1), poll.Acknowledged)
 		inventory, verdict := c.inventory(poll)
@@ -672,7 +672,7 @@
 	t.Run("a poll for a former incarnation does not discard results of the next", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.submit("a", describer.Queue{}, tasks(4))
-		c.runUntilUnconfirmed("w-0", 4)
+		c.runUntilUnconfirmed(4)
 		poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
 		require.Zero(t, poll.Wait)
 		require.EqualValues(t, 4, poll.Acknowledged)
@@ -690,7 +690,7 @@
 	t.Run("a poll after one that failed acknowledges nothing, as the worker may have restarted", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.submit("a", describer.Queue{}, tasks(4))
-		c.runUntilUnconfirmed("w-0", 4)
+		c.runUntilUnconfirmed(4)
 		poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
 		require.EqualValues(t, 4, poll.Acknowledged)
 		c.d.PollAnswered(c.clock.Now(), poll, orderer.Inventory{}, orderer.Unknown)
@@ -700,7 +700,7 @@
 	t.Run("a poll that got no reply and arrives in the next life discards no results", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.submit("a", describer.Queue{}, tasks(4))
-		c.runUntilUnconfirmed("w-0", 4)
+		c.runUntilUnconfirmed(4)
 		poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
 		c.d.PollAnswered(c.clock.Now(), poll, orderer.Inventory{}, orderer.Unknown)
 		c.fleet.Restart("w-0", 2)
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -137,15 +137,15 @@
 	}
 }
 
-// runUntilUnconfirmed ticks the cell until the next poll of a worker acknowledges results up to a number.
-func (c *cell) runUntilUnconfirmed(worker string, number int64) {
+// runUntilUnconfirmed ticks the cell until the next poll of the first worker acknowledges results up to a number.
+func (c *cell) runUntilUnconfirmed(number int64) {
 	for range 1000 {
-		if c.d.Registrar().Workers[worker] != nil && c.d.Registrar().Workers[worker].Results.Unconfirmed() == number {
+		if w, isKnown := c.d.Registrar().Workers["w-0"]; isKnown && w.Results.Unconfirmed() == number {
 			return
 		}
 		c.run(tickInterval)
 	}
-	require.Fail(c.t, "no poll acknowledges the result", "worker %s, result %d", worker, number)
+	require.Fail(c.t, "no poll acknowledges the result", "result %d", number)
 }
 
 // tick polls all workers once, then ticks the dispatcher, carries out its orders and persists
