Start no job without an interval before its time

What callers would have seen: a scheduled job with one occurrence ran at once instead of at its time (ORDER).

Cause: the range of the due occurrences was taken for the whole job if it has no interval, and steps in the range are no longer asked for their time one by one.

The tests of the tasker had no such job.

Change: nothing of a scheduled job is due before its start.

--- a/internal/fleet/tasker/ready.go
+++ b/internal/fleet/tasker/ready.go
@@ -80,11 +80,12 @@
 func (j *Job) dueRange(now time.Time) (begin, end int) {
 	j.firstOpen = j.tally.NextOpenStep(j.firstOpen)
 	end = j.tally.StepCount()
-	if j.Spec.Repeat > 0 && j.Spec.Interval > 0 {
-		elapsed := now.Sub(j.Spec.StartAt)
-		if elapsed < 0 {
-			return 0, 0
-		}
+	elapsed := now.Sub(j.Spec.StartAt)
+	switch {
+	case j.Spec.Repeat == 0:
+	case elapsed < 0:
+		return 0, 0
+	case j.Spec.Interval > 0:
 		occurrences := min(int64(elapsed/j.Spec.Interval)+1, int64(j.Spec.Occurrences()))
 		end = int(occurrences) * len(j.Spec.Steps)
 	}
--- a/internal/fleet/tasker/ready_test.go
+++ b/internal/fleet/tasker/ready_test.go
@@ -29,6 +29,14 @@
 			require.Len(t, tasker.ReadySteps(jobs, start.Add(offset)), want, "at %v", offset)
 		}
 	})
+	t.Run("occurrences without an interval are all due at the start, and not before", func(t *testing.T) {
+		for _, occurrences := range []int{1, 3} {
+			jobs := scheduled(occurrences)
+			jobs["a"].Spec.Interval = 0
+			require.Empty(t, tasker.ReadySteps(jobs, start.Add(-1)))
+			require.Len(t, tasker.ReadySteps(jobs, start), occurrences)
+		}
+	})
 	t.Run("a job without occurrences is offered whatever its interval is", func(t *testing.T) {
 		job := tasker.NewJob(&journaler.Entry{Job: &describer.Job{ID: "a", Steps: []describer.Step{{Count: 1}}, Interval: time.Hour}})
 		require.Len(t, tasker.ReadySteps(map[describer.JobID]*tasker.Job{"a": job}, start), 1)
