Stop starts without a reply in the next life of their worker

What callers saw: nothing known.

Cause: the stop that follows a start without a reply was acknowledged by the former life. The next one knows of neither and takes the start.

Change: a restarted worker is told to stop each run whose start got no reply within the last 12 s, which makes it refuse that start, and the task waits for that.

--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -36,6 +36,10 @@
 	actsAfter = 1900 * time.Millisecond
 )
 
+// lateStarts lets late starts and stops reach the next life of their worker, too. A start that arrives there before the
+// holder knows of the restart can't be told from a new one.
+var lateStarts = os.Getenv("CHAOS_LATE_STARTS") != ""
+
 // chaosFault is a kind of fault.
 type chaosFault int
 
@@ -205,7 +209,7 @@
 	const timeout = 500 * time.Millisecond
 	answer := func(verdict orderer.Verdict, apply func(orderer.Verdict)) func() { return func() { apply(verdict) } }
 	simple := func(worker string, carryOut func() orderer.Verdict, apply func(orderer.Verdict)) {
-		x.exchange(a, worker, false, timeout, func(done func(func())) {
+		x.exchange(a, worker, lateStarts, timeout, func(done func(func())) {
 			if verdict := carryOut(); verdict != orderer.Unknown {
 				done(answer(verdict, apply))
 			}
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -14,6 +14,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"lentilrock.example/internal/fleet/acknowledger"
@@ -123,6 +124,8 @@
 	// lostAcknowledgementAt is when the newest poll to the current incarnation was sent that acknowledges results and
 	// got no reply. mayDiscardUntil is until when such a poll to a former incarnation may arrive.
 	lostAcknowledgementAt, mayDiscardUntil time.Time
+	// lostStarts are the starts without a reply that may still be carried out, the oldest first.
+	lostStarts []LostStart
 	// startsInFlight counts the starts without a verdict so far.
 	startsInFlight int
 	// HasFailedPoll reports that the last poll of the worker failed: it got no reply, or a reply
@@ -217,6 +220,26 @@
 // StartSent records that a start is in flight.
 func (w *Worker) StartSent() { w.startsInFlight++ }
 
+// LostStart is a start without a reply.
+type LostStart struct {
+	Ref    describer.TaskRef
+	Number int64
+	Charge describer.Resources
+	SentAt time.Time
+}
+
+// RecordLostStart records that the start of a run got no reply. Of very many the oldest are forgotten.
+func (w *Worker) RecordLostStart(r *tasker.Run, now time.Time) {
+	w.lostStarts = append(w.LostStarts(now), LostStart{Ref: r.Ref, Number: r.Number, Charge: r.Charge, SentAt: r.SentAt})
+	w.lostStarts = w.lostStarts[max(len(w.lostStarts)-maxRuns, 0):]
+}
+
+// LostStarts returns the starts without a reply that may still be carried out.
+func (w *Worker) LostStarts(now time.Time) []LostStart {
+	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return now.Sub(s.SentAt) >= maxLateness })
+	return w.lostStarts
+}
+
 // StartEnded records the verdict on a start.
 func (w *Worker) StartEnded() { w.startsInFlight = max(w.startsInFlight-1, 0) }
 
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -55,6 +55,7 @@
 	case orderer.Unknown:
 		if r.ConfirmedAt.IsZero() {
 			w.HasUnconfirmedStart = true
+			w.RecordLostStart(r, now)
 			s.Stop(r)
 		}
 	case orderer.Fenced:
@@ -80,6 +81,26 @@
 	s.Resolve(r)
 }
 
+// StopLostStarts stops the runs whose starts got no reply, as a worker that has restarted does not refuse one that
+// arrives late: the former incarnation was told of the stop. Their tasks don't start again before that.
+func (s *Reconciler) StopLostStarts(w *monitor.Worker) {
+	for _, lost := range w.LostStarts(s.Now) {
+		if _, isKnown := w.Runs[monitor.RunKey{Ref: lost.Ref, Number: lost.Number}]; isKnown {
+			continue
+		}
+		r := &tasker.Run{
+			Ref: lost.Ref, Number: lost.Number, Worker: w.Info.ID, Charge: lost.Charge, SentAt: lost.SentAt,
+			Percent: tasker.UnknownPercent, Stopping: true,
+		}
+		w.Add(r)
+		if j, found := s.Jobs[lost.Ref.Job]; found {
+			r.Job, r.Task = j, j.Task(lost.Ref)
+			j.AddRun(r)
+		}
+		s.SendStop(r)
+	}
+}
+
 // StopAnswered applies the verdict on a stop. An acknowledgement counts only if the stop was sent after the
 // worker's current incarnation had replied: a former one does not refuse a start that arrives later.
 func (s *Reconciler) StopAnswered(now time.Time, stop orderer.Stop, verdict orderer.Verdict) {
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -149,6 +149,7 @@
 			wt.reconciler.Resolve(r)
 		}
 	}
+	wt.reconciler.StopLostStarts(w)
 	return needsPoll
 }
 
