Bound the commands that peers forward

What was seen: nothing. A command is bounded by 64 KiB where operators send it, but a peer's frame may have 4 MiB of it. TestLongCommands fails before, as the parser reports a syntax error after reading all of it.

--- a/internal/query/processor/processor.go
+++ b/internal/query/processor/processor.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,6 +90,10 @@
 
 // Execute parses and executes a command. Errors are returned in Reply.Error.
 func (t *Processor) Execute(ctx context.Context, c Command) Reply {
+	// Peers forward commands, too, in frames of any size.
+	if len(c.Text) > maxCommandBytes {
+		return Reply{Error: fmt.Sprintf("the command has %d bytes, over %d", len(c.Text), maxCommandBytes)}
+	}
 	s, err := parser.Parse(c.Text)
 	if err != nil {
 		return Reply{Error: err.Error()}
