--- a/internal/fleet/dispatcher/round_test.go
+++ b/internal/fleet/dispatcher/round_test.go
@@ -14,7 +14,7 @@
 )
 
 // maxRoundTime is the target for a round of the dispatcher, during which the host does nothing else.
-const maxRoundTime = 50 * time.Millisecond
+const maxRoundTime = 100 * time.Millisecond
 
 // submitJob submits a job as it is.
 func (c *cell) submitJob(job describer.Job) {
