--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -135,7 +135,7 @@
 		p.requestAdvice(s)
 		return
 	}
-	if !p.round.mayStart(s.Job, s.Spec.Count) {
+	if s.WaitingTasks(p.Now) < s.Spec.Count || !p.round.mayStart(s.Job, s.Spec.Count) {
 		return
 	}
 	candidates := p.candidates(s)
@@ -149,9 +149,6 @@
 	var last *monitor.Worker
 	for index := range s.Spec.Count {
 		t := s.Task(index)
-		if !t.IsWaiting(p.Now) {
-			return
-		}
 		w, ticket := p.selector.Next(last, t, candidates, plan, p.Now)
 		if w == nil {
 			p.requestAdvice(s)
