--- a/internal/entry/forwarder/forwarder_test.go
+++ b/internal/entry/forwarder/forwarder_test.go
@@ -106,7 +106,7 @@
 	near.canPersist = func() bool { <-released; return true }
 	far.canPersist = func() bool { return false }
 	startedAt := time.Now()
-	err := newForwarder(t, near.host, far.host).PersistViaPeers(t.Context(), journaler.Record{Key: "j/a"})
+	err := newForwarder(t, near.host, far.host).PersistViaPeers(t.Context(), journaler.Record{Key: "j/a", Value: []byte("job")})
 	close(released)
 	require.True(t, errors.Is(err, storer.ErrRefused), "%v", err)
 	require.Less(t, time.Since(startedAt), 10*time.Second, "the question to a peer must have a time limit")
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -82,31 +82,48 @@
 mutant "fence: host list entry and replies are of one incarnation" internal/fleet/monitor/monitor.go \
   'isSameIncarnation := w.Info.Incarnation == 0 ||' 'isSameIncarnation := true ||' $dispatcher 'TestWorkers/a_restarted_worker'
 mutant "fence: a new holder polls all workers of the roster" internal/fleet/watcher/watcher.go \
-  'range roster.Members' 'range []journaler.Member{}' $dispatcher 'TestTakeover/a_new_holder_polls'
+  'range members {' 'range []journaler.Member{} {' $dispatcher 'TestTakeover/a_new_holder_polls'
 mutant "fence: runs of ended jobs use capacity" internal/fleet/reconciler/reconciler.go \
   'return entry.Job.Steps[ref.Step].Charge()' 'return describer.Resources{}' $dispatcher 'TestTakeover/runs_of_an_ended_job'
 mutant "fence: replies that arrive after a later one are ignored" internal/fleet/watcher/poll.go \
   'inventory.Clock < w.ReplyClock' 'false' $dispatcher 'TestWorkers/a_reply_that_arrives'
 mutant "fence: results are acknowledged once they are durable" internal/fleet/persister/persister.go \
   'return s.taken + 1' 'return 0' $dispatcher 'TestTakeover/the_result_of_a_run'
-mutant "fence: a failure is counted once" internal/fleet/tasker/tasker.go \
+mutant "fence: a failure is counted once" internal/fleet/tasker/task.go \
   '(*failures)[number] = true' '(*failures)[int64(len(*failures))+1000] = true' $dispatcher 'TestTakeover/a_failure'
 mutant "fence: tasks wait for workers that have not replied" internal/fleet/monitor/monitor.go \
   'return isUnread && w.MayHaveUnlistedRuns(now)' 'return false && isUnread' $dispatcher 'TestTakeover/a_task_that_may'
 mutant "fence: a run that was confirmed after a poll was sent is not resolved by its reply" internal/fleet/watcher/poll.go \
   'case r.ConfirmedAt.After(poll.SentAt):' 'case false && needsPoll:' $dispatcher 'TestWorkers/a_run_that_a_restarted'
 mutant "fence: an extra poll acknowledges nothing" internal/fleet/reconciler/order.go \
-  'poll.Wait, poll.Acknowledged = 0, 0' 'poll.Wait = 0' $dispatcher 'TestWorkers/a_poll_after_a_stop'
+  'poll := s.nextPoll(w)
+	poll.Wait = 0' 'poll := s.NextPoll(w)
+	poll.Wait = 0' $dispatcher 'TestWorkers/a_poll_after_a_stop'
 mutant "fence: a restarted worker counts as having the longest lease" internal/fleet/watcher/poll.go \
   'w.Lease.Cover(wt.Now, wt.Options.MaxLease)' '' $dispatcher 'TestWorkers/a_deadline_on_the_clock'
-mutant "fence: a task does not start beside a run that is being stopped" internal/fleet/tasker/tasker.go \
+mutant "fence: a task does not start beside a run that is being stopped" internal/fleet/tasker/task.go \
   'len(t.runs) > 0 && !t.Step.Spec.Speculative' 'false' $dispatcher 'TestWorkers/a_task_does_not_start_beside'
+mutant "fence: a poll that waits acknowledges nothing" internal/fleet/reconciler/order.go \
+  'poll.Wait, poll.Acknowledged = 0, number' 'poll.Acknowledged = number' $dispatcher 'TestWorkers/a_poll_for_a_former_incarnation'
+mutant "fence: a restarted worker gets no tasks while a lost acknowledgement may arrive" internal/fleet/monitor/monitor.go \
+  '!now.Before(w.mayDiscardUntil) &&' '' $dispatcher 'TestWorkers/a_poll_that_got_no_reply'
+mutant "fence: starts without a reply are stopped in the next life" internal/fleet/watcher/poll.go \
+  'wt.reconciler.StopLostStarts(w)' '' $dispatcher 'TestWorkers/a_start_that_got_no_reply'
+mutant "fence: a successor allows for the longest lease of a worker that restarted" internal/fleet/watcher/watcher.go \
+  'if w.HasRestartedUnnoticed(info.Incarnation) {' 'if false {' $dispatcher 'TestTakeover/a_worker_that_restarted'
+mutant "fence: a scheduled job does not start before its time" internal/fleet/tasker/ready.go \
+  'case elapsed < 0:' 'case elapsed < 0 && j.Spec.Interval > 0:' internal/fleet/tasker 'TestReadySteps'
+mutant "fence: a queue leaves runs for the others" internal/fleet/placer/round.go \
+  'r.runsByQueue[j.Queue.Name]+count <=' 'count <=' $dispatcher 'TestRunsAreBounded'
+mutant "fence: a job without room is refused" internal/entry/coordinator/submit.go \
+  'if err := k.admit(job); err != nil {' 'if err := k.admit(job); err != nil && false {' internal/entry/coordinator 'TestFullCell'
 mutant "fence: an unlisted run is waited for" internal/fleet/placer/placer.go \
   '|| hasUnlistedRuns &&' '|| false && hasUnlistedRuns &&' $dispatcher 'TestTakeover/a_new_holder_waits_for_a_worker_that_was'
 mutant "fence: runs on unresponsive workers are persisted" internal/fleet/tasker/progress.go \
   't.Run != nil && isSilent(t.Run.Worker)' 'false' $dispatcher 'TestTakeover/a_new_holder_expects'
 mutant "fence: a start without a reply is stopped before a second start" internal/fleet/reconciler/order.go \
   '			w.HasUnconfirmedStart = true
+			w.RecordLostStart(r, now)
 			s.Stop(r)' '			s.Resolve(r)' $dispatcher 'TestWorkers/a_start_without'
 mutant "fence: no start before the roster is durable" internal/fleet/monitor/monitor.go \
   'w.IsListed && w.IsEnrolled &&' 'w.IsListed &&' $dispatcher 'TestWorkers/a_worker_gets'
