Say in AcceptsTasks what each condition is for

A line of 270 characters is divided into four, with the same conditions; the comment of a job's bounds no longer says that sums and products stay within their types, which the durations showed to be wrong; the seeds' exchange explains late orders.

--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -161,7 +161,8 @@
 	Received time.Time `cbor:"8,keyasint,omitempty"`
 }
 
-// Bounds of a job. They keep sums and products of its numbers within their types.
+// Bounds of a job. They keep the number of its tasks and its due times within their types; what is derived from its
+// durations is bounded where it is computed.
 const (
 	// MaxTasks is the maximum number of tasks of a job, summed over all its occurrences.
 	MaxTasks = 100_000
--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -146,7 +146,8 @@
 }
 
 // exchange sends an order to a worker. It is executed at once, late or not at all, and its reply may be lost.
-// When the worker restarts, late orders are gone, and the connections of the others mostly break.
+// When the worker restarts, late orders are gone, half of them only if they may outlive it, and the connections of the
+// others mostly break.
 func (x *chaos) exchange(a *actor, worker string, mayOutlive bool, timeout time.Duration, execute func(done func(reply func())), onFailure func(verdict orderer.Verdict)) {
 	isAnswered := false
 	answer := func(run func()) {
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -201,8 +201,11 @@
 // their numbers: it would discard those of the current one, and their tasks would run again.
 func (w *Worker) AcceptsTasks(now time.Time) bool {
 	isSameIncarnation := w.Info.Incarnation == 0 || w.Info.Incarnation == w.Incarnation
-	isResponsive := w.stalePolls == 0 && !now.Before(w.mayDiscardUntil) && w.startsInFlight < maxStartsInFlight && len(w.Runs) < maxRuns && w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
-	return w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && !w.IsDrained && isSameIncarnation && isResponsive && w.Breaker.AllowsStarts(now)
+	isResponsive := w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
+	hasRoom := w.startsInFlight < maxStartsInFlight && len(w.Runs) < maxRuns
+	keepsResults := w.stalePolls == 0 && !now.Before(w.mayDiscardUntil)
+	isAvailable := w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && !w.IsDrained
+	return isAvailable && isSameIncarnation && isResponsive && hasRoom && keepsResults && w.Breaker.AllowsStarts(now)
 }
 
 // BeginIncarnation records a new incarnation and resets all state that belongs to the former one.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -106,7 +106,7 @@
 mutant "fence: a poll that waits acknowledges nothing" internal/fleet/reconciler/order.go \
   'poll.Wait, poll.Acknowledged = 0, number' 'poll.Acknowledged = number' $dispatcher 'TestWorkers/a_poll_for_a_former_incarnation'
 mutant "fence: a restarted worker gets no tasks while a lost acknowledgement may arrive" internal/fleet/monitor/monitor.go \
-  '!now.Before(w.mayDiscardUntil) &&' '' $dispatcher 'TestWorkers/a_poll_that_got_no_reply'
+  ' && !now.Before(w.mayDiscardUntil)' '' $dispatcher 'TestWorkers/a_poll_that_got_no_reply'
 mutant "fence: starts without a reply are stopped in the next life" internal/fleet/watcher/poll.go \
   'wt.reconciler.StopLostStarts(w)' '' $dispatcher 'TestWorkers/a_start_that_got_no_reply'
 mutant "fence: a successor allows for the longest lease of a worker that restarted" internal/fleet/watcher/watcher.go \
