Play a cell that is split between two holders

TestNoTaskRunsTwiceInSplitCell cuts the former holder off from the store at each takeover, lets both holders reach every second worker only, and lets the former one go on until it is fenced.

--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -75,6 +76,9 @@
 	isSaving bool
 	// unreachable are the workers that this holder can't reach.
 	unreachable map[string]bool
+	// isCutFromStore reports that this holder can't append, and reads no entries newer than listed.
+	isCutFromStore bool
+	listed         []describer.Worker
 	// seen counts the lives of each worker that have replied to a poll.
 	seen map[string]int
 }
@@ -99,6 +103,8 @@
 	// lives counts the lives of each worker, and onRestart has what a restart does to the orders in flight.
 	lives     map[string]int
 	onRestart map[string][]func()
+	// splits makes each takeover split the cell between the former holder, which loses the store, and its successor.
+	splits bool
 }
 
 // note adds a line to the trace, which is printed if the seed fails.
@@ -306,7 +312,10 @@
 		return
 	}
 	now := x.clock.Now()
-	a.d.SetWorkers(now, x.list())
+	if !a.isCutFromStore {
+		a.listed = x.list()
+	}
+	a.d.SetWorkers(now, a.listed)
 	a.d.Tick(now)
 	// The dispatcher iterates over maps; the order makes a seed repeatable.
 	orders := a.d.TakeOrders()
@@ -325,7 +334,7 @@
 
 // saveProgress persists the progress of a holder, unless a later one has appended.
 func (x *chaos) saveProgress(a *actor) {
-	if a.isSaving || x.isStoreDown || !a.d.HasProgress() {
+	if a.isSaving || a.isCutFromStore || x.isStoreDown || !a.d.HasProgress() {
 		return
 	}
 	a.isSaving = true
@@ -374,6 +383,10 @@
 	if former == nil {
 		return
 	}
+	if x.splits {
+		x.split(former, x.holder)
+		return
+	}
 	if x.chance(40) {
 		former.isGone = true
 		return
@@ -389,6 +402,29 @@
 	}
 }
 
+// split cuts a former holder off from the store for some seconds, in which it and its successor reach different
+// workers. The former one goes on until it is fenced.
+func (x *chaos) split(former, successor *actor) {
+	x.note("FAULT split: holders %d and %d reach different workers", former.epoch, successor.epoch)
+	former.isCutFromStore = true
+	for i, info := range x.fleet.Workers() {
+		[]*actor{former, successor}[i%2].unreachable[info.ID] = true
+	}
+	x.after(x.between(2*time.Second, 14*time.Second), func() {
+		former.isCutFromStore = false
+		clear(former.unreachable)
+		clear(successor.unreachable)
+	})
+	var tick func()
+	tick = func() {
+		if !former.isGone {
+			x.tickHolder(former)
+			x.after(3*chaosStep, tick)
+		}
+	}
+	tick()
+}
+
 func (x *chaos) infoOf(id string) describer.Worker {
 	workers := x.fleet.Workers()
 	return workers[slices.IndexFunc(workers, func(w describer.Worker) bool { return w.ID == id })]
@@ -525,26 +561,51 @@
 	}
 }
 
-// TestNoTaskRunsTwice guards against tasks that run twice at a time when orders, replies and entries of the host
-// list are late, lost and out of order while workers and holders come and go.
-func TestNoTaskRunsTwice(t *testing.T) {
-	first, count := uint64(1), uint64(chaosSeeds)
+// seedsFromEnv returns the seeds that the environment variables CHAOS_FIRST and CHAOS_SEEDS name, by default the first ones.
+func seedsFromEnv(count uint64) iter.Seq[uint64] {
+	first := uint64(1)
 	if n, err := strconv.ParseUint(os.Getenv("CHAOS_FIRST"), 10, 64); err == nil {
 		first = n
 	}
 	if n, err := strconv.ParseUint(os.Getenv("CHAOS_SEEDS"), 10, 64); err == nil {
 		count = n
 	}
-	for seed := first; seed < first+count; seed++ {
+	return func(yield func(uint64) bool) {
+		for seed := first; seed < first+count && yield(seed); seed++ {
+		}
+	}
+}
+
+// playSeed plays a seed and requires that no task runs twice.
+func playSeed(t *testing.T, seed uint64, splits bool) {
+	x := newChaos(t, seed)
+	x.splits = splits
+	x.play()
+	overlaps, _ := x.fleet.Violations()
+	if len(overlaps) > 0 {
+		t.Log(strings.Join(x.traceOf(overlaps[0].Task), "\n"))
+	}
+	require.Empty(t, overlaps)
+}
+
+// TestNoTaskRunsTwice guards against tasks that run twice at a time when orders, replies and entries of the host
+// list are late, lost and out of order while workers and holders come and go.
+func TestNoTaskRunsTwice(t *testing.T) {
+	for seed := range seedsFromEnv(chaosSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, seed, false)
+		})
+	}
+}
+
+// TestNoTaskRunsTwiceInSplitCell guards against a former holder without the store that takes runs for lost which its
+// successor still reaches, and starts their tasks again on workers that its successor does not reach.
+func TestNoTaskRunsTwiceInSplitCell(t *testing.T) {
+	for seed := range seedsFromEnv(chaosSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			x := newChaos(t, seed)
-			x.play()
-			overlaps, _ := x.fleet.Violations()
-			if len(overlaps) > 0 {
-				t.Log(strings.Join(x.traceOf(overlaps[0].Task), "\n"))
-			}
-			require.Empty(t, overlaps)
+			playSeed(t, seed, true)
 		})
 	}
 }
