Tell the dispatcher when the claim was sent and former holders last read

A former holder that is cut off from the store does not know of its successor, and its leases are to end a fixed time after the sending of its newest append.

The successor counted from its takeover, and neither knew when its claim had been sent nor when it had read the last record before it. The claimant now records the sending of a claim with its epoch, and the coordinator the reading of the last record before a claim. Records of this host under an earlier claim count as well. A list omits replaced records, so its own time counts. The ages and the longest lease are in the log line of the takeover. The dispatcher does not use the times yet.

--- a/internal/entry/claimant/claimant.go
+++ b/internal/entry/claimant/claimant.go
@@ -3,15 +3,18 @@
 //
 // # Usage
 //
-//	c := claimant.New(claimant.Options{Self: name, Incarnation: id, Appender: appender, Logger: logger})
+//	c := claimant.New(claimant.Options{Self: name, Incarnation: id, Appender: appender, Clock: clock, Logger: logger})
 //	mayHaveTakenEffect := c.Claim(ctx, epoch, lease, reason)
+//	sentAt := c.SentAt(epoch)
 package claimant
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/entry/storer"
@@ -27,12 +30,18 @@
 	Self        string
 	Incarnation string
 	Appender    storer.Appender
+	Clock       clockwork.Clock
 	Logger      *zap.Logger
 }
 
-// Claimant appends claims.
+// Claimant appends claims. It is safe for concurrent use.
 type Claimant struct {
 	options Options
+
+	mu sync.Mutex
+	// sentEpoch is the epoch of the last claim, and sentAt when it was first sent.
+	sentEpoch int64
+	sentAt    time.Time
 }
 
 // New returns a Claimant.
@@ -48,6 +57,7 @@
 		c.options.Logger.Error("claim: Encoding the claim failed; the cell is not claimed.", zap.String("error", err.Error()))
 		return false
 	}
+	c.recordSent(epoch)
 	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	_, err = c.options.Appender.Append(claimCtx, storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: epoch})
@@ -59,3 +69,20 @@
 		zap.String("reason", reason), zap.String("outcome", outcome))
 	return !errors.Is(err, storer.ErrRefused)
 }
+
+// recordSent records that a claim is about to be sent. An earlier attempt at the same epoch was refused.
+func (c *Claimant) recordSent(epoch int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sentEpoch, c.sentAt = epoch, c.options.Clock.Now()
+}
+
+// SentAt returns when the claim of an epoch was first sent; zero if that was not the last claim.
+func (c *Claimant) SentAt(epoch int64) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sentEpoch != epoch {
+		return time.Time{}
+	}
+	return c.sentAt
+}
--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -119,6 +119,8 @@
 	catalog *cataloger.Catalog
 	// reads has what was read from the store, and when.
 	reads tracker.Tracker
+	// former tells when records of former holders were read.
+	former formerRecords
 	// heartbeatAt is when a new record of the holder was last read, holderOffset the offset of
 	// that record.
 	heartbeatAt  time.Time
@@ -168,7 +170,7 @@
 		},
 		Store: o.Store, Clock: o.Clock, Logger: o.Logger,
 	})
-	k.claimant = claimant.New(claimant.Options{Self: o.Name, Incarnation: o.Incarnation, Appender: k.repeater, Logger: o.Logger})
+	k.claimant = claimant.New(claimant.Options{Self: o.Name, Incarnation: o.Incarnation, Appender: k.repeater, Clock: o.Clock, Logger: o.Logger})
 	k.distributor = distributor.New(distributor.Options{
 		Self: o.Name, DataCentre: o.DataCentre, Advisor: o.Advisor, Messenger: o.Messenger, Hosts: k.hosts, Clock: o.Clock,
 	})
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -16,6 +16,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"lentilrock.example/internal/entry/coordinator"
 	"lentilrock.example/internal/entry/storer"
@@ -134,11 +137,15 @@
 	listDelay time.Duration
 	// distance is the round trip between the store and the hosts that start next.
 	distance time.Duration
+	// logs has the log lines of all hosts.
+	logs *observer.ObservedLogs
+	core zapcore.Core
 }
 
 func newCell(t *testing.T, hosts int) *cell {
 	clock := clockwork.NewRealClock()
 	c := &cell{t: t, store: fencer.NewStore(clock)}
+	c.core, c.logs = observer.New(zap.InfoLevel)
 	c.fleet = fencer.NewFleet(clock, func(describer.TaskRef) time.Duration { return taskDuration },
 		func(describer.TaskRef) describer.Resources { return describer.Resources{MilliCPU: 1000} })
 	for i := range 4 {
@@ -170,7 +177,7 @@
 	c.hostStores = append(c.hostStores, hostStore)
 	k := coordinator.New(coordinator.Options{
 		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, MemoryMB: c.memoryMB, PeerAddress: address, Messenger: peers, Store: hostStore, Decoder: jsonDecoder{},
-		Workers: c.fleet, Advisor: failingAdvisor{}, Clock: clockwork.NewRealClock(),
+		Workers: c.fleet, Advisor: failingAdvisor{}, Clock: clockwork.NewRealClock(), Logger: zap.New(c.core).With(zap.String("host", name)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go k.Run(ctx)
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -70,6 +70,8 @@
 func (k *Coordinator) resetClaims(list storer.Batch) {
 	k.mu.Lock()
 	k.state.RemoveUnlistedProgress(list.Keys(), list.Next, k.now().Add(-minRemovalAge))
+	// The list omits records that newer ones replaced.
+	k.former.recordRead(k.now())
 	k.mu.Unlock()
 	k.applyClaims(list)
 }
@@ -98,6 +100,10 @@
 	isFirst := k.reads.ClaimsAt.IsZero()
 	for _, e := range k.reads.RecordClaims(now, batch) {
 		k.applyRecord(now, e)
+		if e.Offset == k.state.ClaimOffset {
+			k.former.recordClaim(k.state.Claim.Epoch)
+		}
+		k.former.recordRead(now)
 	}
 	if k.state.HolderOffset > k.holderOffset || isFirst {
 		k.holderOffset, k.heartbeatAt = k.state.HolderOffset, now
--- a/internal/entry/coordinator/hold.go
+++ b/internal/entry/coordinator/hold.go
@@ -18,6 +18,7 @@
 func (k *Coordinator) startHolding(now time.Time, claim journaler.Claim) {
 	options := k.dispatcherOptions()
 	options.Epoch, options.Host, options.Report = claim.Epoch, k.options.Name, k.reportDecision
+	options.ClaimSentAt, options.FormerSeenAt = k.claimant.SentAt(claim.Epoch), k.former.seenBefore(claim.Epoch)
 	k.dispatcher = dispatcher.New(options, k.state, now)
 	k.setOperatorEntries(now)
 	k.dispatcher.SetAdviceHosts(len(k.liveHosts()))
@@ -26,8 +27,17 @@
 		Epoch: claim.Epoch, Store: k.options.Store, Appender: k.repeater, Workers: k.options.Workers, Machines: k.options.Machines, Clock: k.options.Clock,
 		Logger: k.options.Logger, Update: k.updateDispatcher, OnFenced: k.stopHolding, OnAppended: k.applyAppended, StoreReplies: k.storeReplies, RequestAdvice: k.distributor.Advise,
 	})
-	k.options.Logger.Info("claim: This host holds the cell.", zap.Int64("epoch", claim.Epoch),
-		zap.Int("jobs", len(k.state.Jobs)), zap.Int("workers", k.catalog.Size()))
+	fields := []zap.Field{
+		zap.Int64("epoch", claim.Epoch), zap.Int("jobs", len(k.state.Jobs)), zap.Int("workers", k.catalog.Size()),
+		zap.Duration("longest_lease", options.LongestLease()),
+	}
+	if !options.ClaimSentAt.IsZero() {
+		fields = append(fields, zap.Duration("claim_age", now.Sub(options.ClaimSentAt)))
+	}
+	if !options.FormerSeenAt.IsZero() {
+		fields = append(fields, zap.Duration("former_record_age", now.Sub(options.FormerSeenAt)))
+	}
+	k.options.Logger.Info("claim: This host holds the cell.", fields...)
 	k.holder.Run(context.Background())
 }
 
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -47,6 +47,11 @@
 	MaxLease time.Duration
 	// FormerLease is the longest lease that former holders may have granted.
 	FormerLease time.Duration
+	// ClaimSentAt is when the append of the claim was first sent; zero if it is unknown.
+	ClaimSentAt time.Time
+	// FormerSeenAt is when the last record of a former holder was read, which was sent before that; zero if
+	// it is unknown.
+	FormerSeenAt time.Time
 	// History is how long the state of ended jobs can be queried.
 	History time.Duration
 	// RemoteFactor is how many times slower a task is on another rack than its data.
