Let the first claim of a cell carry its own lease

What operators see: a successor reckons with leases of 6 s, the longest that workers accept, at workers that it can't reach, although no holder grants more than 3.5 s. That it waits as long was read in the code; the claims' 6 s were measured.

A former lease of 0 means that it is unknown, and so did that of a cell without a former claim. All later claims carry the longest lease of those before, so none ever had less. The claim of epoch 1 has none before it and now carries the lease of its own holder. Any later epoch with an unknown former lease, also one attempted after a first claim of unknown outcome, carries 6 s as before.

Evidence: the case of a new cell in TestClaimCarriesTheLongestLeaseGranted failed before (6 s); that of a former claim without a lease passes before and after.

--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -23,6 +23,8 @@
 	// firstClaimDelay lets the hosts of a new cell read each other's announcements before one of
 	// them claims the cell.
 	firstClaimDelay = 300 * time.Millisecond
+	// firstEpoch is the epoch of the first claim of a cell, before which no holder granted leases.
+	firstEpoch = 1
 )
 
 // runElections periodically checks whether this host must claim the cell, and claims it.
@@ -64,8 +66,12 @@
 // again only if the store refused the append.
 func (k *Coordinator) appendClaim(ctx context.Context, epoch int64, reason string) {
 	k.mu.Lock()
-	lease := k.dispatcherOptions().LongestLease()
+	options := k.dispatcherOptions()
 	k.mu.Unlock()
+	lease := options.LongestLease()
+	if epoch == firstEpoch {
+		lease = options.OwnLease()
+	}
 	if k.claimant.Claim(ctx, epoch, lease, reason) {
 		k.mu.Lock()
 		k.attemptedEpoch, k.attemptedAt = epoch, k.now()
--- a/internal/entry/coordinator/takeover_test.go
+++ b/internal/entry/coordinator/takeover_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/journaler"
 )
 
 // TestTakeoverCountsFromTheLastRecordOfTheFormerHolder guards against a takeover that counts the leases of
@@ -31,3 +34,46 @@
 		require.True(t, sentAt.Before(line.Time))
 	})
 }
+
+// claimedLease returns the lease of the claim in force.
+func (c *cell) claimedLease() time.Duration {
+	page, err := c.store.Newest(c.t.Context(), storer.Claims, "")
+	require.NoError(c.t, err)
+	state := journaler.New()
+	for _, e := range page.Entries {
+		_, err := state.Apply(e.Record, e.Offset)
+		require.NoError(c.t, err)
+	}
+	return state.Claim.Lease
+}
+
+// TestClaimCarriesTheLongestLeaseGranted guards against a successor that waits for the longest lease that
+// workers accept in a cell whose holders grant shorter ones, or for too short a lease after a holder that
+// recorded none.
+func TestClaimCarriesTheLongestLeaseGranted(t *testing.T) {
+	const granted, accepted = 3500 * time.Millisecond, 6 * time.Second
+	t.Run("a new cell", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCell(t, 2)
+			defer c.shutDown()
+			require.Equal(t, granted, c.claimedLease())
+			c.hosts[c.holder()].Leave(t.Context())
+			time.Sleep(2 * time.Second)
+			require.GreaterOrEqual(t, c.holder(), 0, "no host took over")
+			require.Equal(t, granted, c.claimedLease())
+		})
+	})
+	t.Run("a former claim without a lease", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCell(t, 0)
+			defer c.shutDown()
+			claim, err := journaler.NewClaim(journaler.Claim{Epoch: 1, Host: "former", Incarnation: "x"})
+			require.NoError(t, err)
+			c.store.Put(storer.Claims, storer.Entry{Record: claim})
+			c.start("h-0", "incarnation-0")
+			time.Sleep(4 * time.Second)
+			require.Equal(t, 0, c.holder())
+			require.Equal(t, accepted, c.claimedLease())
+		})
+	})
+}
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -73,6 +73,9 @@
 	return max(o.Lease, o.FormerLease)
 }
 
+// OwnLease returns the longest lease that a holder with these options grants.
+func (o Options) OwnLease() time.Duration { return o.withDefaults().Lease }
+
 func (o Options) withDefaults() Options {
 	o.Lease = cmp.Or(o.Lease, defaultLease)
 	o.PollWait = cmp.Or(o.PollWait, defaultPollWait)
