Let a former holder hear of its successor from its peers

A holder that was cut off from the store went on for as long as the cut lasted, at workers that its successor did not reach, although its peers could reach it all the while.

A holder learned of a later claim only from the log and from workers and a store that had taken a later token. A probe carried nothing, and hosts that have read a later claim no longer probe the former holder. Now a probe carries the epoch of the newest claim that its sender has read, and each host that reads a claim sends one to the holder of the former claim, at most five times and until it replies, unless that was released. A holder that hears of a later epoch stops at once, and a takeover under an earlier one doesn't begin. Nothing more is sent while the claim stays. Requests without an epoch are served as before, and hosts of former versions ignore the epoch.

This shortens the time with two holders where peers reach each other; it bounds nothing where they don't.

Evidence: TestHolderWithoutStoreStepsDownForItsSuccessor fails on the commit before (the former holder goes on 0.5 s after the claim), and TestTakeoverEndsForALaterClaim without the condition.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -130,6 +130,8 @@
 	dispatcher *dispatcher.Dispatcher
 	// takeoverEpoch is the epoch of the last claim under which this host began a takeover.
 	takeoverEpoch int64
+	// peerEpoch is the highest epoch of a claim that a peer has read.
+	peerEpoch int64
 	// attemptedEpoch is the highest epoch that this host tried to claim, at attemptedAt.
 	attemptedEpoch int64
 	attemptedAt    time.Time
@@ -175,8 +177,8 @@
 		Self: o.Name, DataCentre: o.DataCentre, Advisor: o.Advisor, Messenger: o.Messenger, Hosts: k.hosts, Clock: o.Clock,
 	})
 	k.prober = prober.New(prober.Options{
-		Messenger: o.Messenger, Clock: o.Clock, Holder: k.remoteClaim, HeldEpoch: k.heldEpoch, OnProbeFailed: k.claimsWaker.Wake,
-		HostCount: func() int { return len(k.hosts()) },
+		Messenger: o.Messenger, Clock: o.Clock, Holder: k.remoteClaim, HeldEpoch: k.heldEpoch,
+		OnProbed: k.stepDown, OnProbeFailed: k.claimsWaker.Wake, HostCount: func() int { return len(k.hosts()) },
 	})
 	k.resigner = resigner.New(resigner.Options{
 		Self: o.Name, Cores: o.Cores, Messenger: o.Messenger, Hosts: k.hosts, IsReady: k.IsReady, Clock: o.Clock,
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"lentilrock.example/internal/entry/coordinator"
+	"lentilrock.example/internal/entry/holder"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
@@ -62,6 +63,9 @@
 	return orderer.Advice{}, errors.New("the advice service is not available in this test")
 }
 
+// errCutOff is the error of reads by a host that is cut off.
+var errCutOff = errors.New("the host is cut off in this test")
+
 // refusableStore is the store as one host accesses it. It can refuse the appends of that host
 // only.
 type refusableStore struct {
@@ -69,6 +73,8 @@
 	isRefusing atomic.Bool
 	// isResetting makes appends fail at once with an unknown outcome.
 	isResetting atomic.Bool
+	// isCutOff makes all calls of that host fail.
+	isCutOff atomic.Bool
 	// pageDelay is how long it takes to list the newest jobs and their progress, after a page with the
 	// other records of the topic.
 	pageDelay time.Duration
@@ -79,6 +85,9 @@
 }
 
 func (s *refusableStore) Read(ctx context.Context, topic storer.Topic, from int64, wait time.Duration) (storer.Batch, error) {
+	if s.isCutOff.Load() {
+		return storer.Batch{}, errors.Errorf("read: %w", errCutOff)
+	}
 	time.Sleep(s.distance / 2)
 	batch, err := s.Store.Read(ctx, topic, from, wait)
 	if topic == storer.Jobs && len(batch.Entries) > 0 {
@@ -89,6 +98,9 @@
 }
 
 func (s *refusableStore) Newest(ctx context.Context, topic storer.Topic, after string) (storer.Page, error) {
+	if s.isCutOff.Load() {
+		return storer.Page{}, errors.Errorf("list: %w", errCutOff)
+	}
 	if s.listDelay > 0 && after != "" && topic == storer.Jobs {
 		time.Sleep(s.listDelay)
 	}
@@ -111,12 +123,50 @@
 	if s.isRefusing.Load() {
 		return 0, errors.Errorf("append: %w", storer.ErrRefused)
 	}
-	if s.isResetting.Load() {
+	if s.isResetting.Load() || s.isCutOff.Load() {
 		return 0, errors.Errorf("append: %w", storer.ErrOutcomeUnknown)
 	}
 	return s.Store.Append(ctx, call)
 }
 
+// cuttableWorkers are the workers as one host accesses them, which can be cut off from all of them.
+type cuttableWorkers struct {
+	holder.Workers
+	isCutOff atomic.Bool
+}
+
+func (w *cuttableWorkers) Poll(ctx context.Context, poll orderer.Poll) (orderer.Inventory, orderer.Verdict) {
+	if w.isCutOff.Load() {
+		<-ctx.Done()
+		return orderer.Inventory{}, orderer.Unknown
+	}
+	return w.Workers.Poll(ctx, poll)
+}
+
+func (w *cuttableWorkers) Pace(ctx context.Context, pace orderer.Pace) orderer.Verdict {
+	if w.isCutOff.Load() {
+		<-ctx.Done()
+		return orderer.Unknown
+	}
+	return w.Workers.Pace(ctx, pace)
+}
+
+func (w *cuttableWorkers) Start(ctx context.Context, start orderer.Start) orderer.Verdict {
+	if w.isCutOff.Load() {
+		<-ctx.Done()
+		return orderer.Unknown
+	}
+	return w.Workers.Start(ctx, start)
+}
+
+func (w *cuttableWorkers) Stop(ctx context.Context, stop orderer.Stop) orderer.Verdict {
+	if w.isCutOff.Load() {
+		<-ctx.Done()
+		return orderer.Unknown
+	}
+	return w.Workers.Stop(ctx, stop)
+}
+
 // cell is a set of hosts with a shared store and fleet, in a synctest bubble.
 type cell struct {
 	t         *testing.T
@@ -129,6 +179,8 @@
 	addresses []netip.AddrPort
 	// hostStores are the stores as the hosts access them, by index of the host.
 	hostStores []*refusableStore
+	// hostWorkers are the workers as the hosts access them, by index of the host.
+	hostWorkers []*cuttableWorkers
 	// cores and memoryMB are the resources of the hosts that start next, pageDelay and listDelay the delays of
 	// their lists of jobs.
 	cores     float64
@@ -175,9 +227,11 @@
 	c.addresses = append(c.addresses, address)
 	hostStore := &refusableStore{Store: c.store, pageDelay: c.pageDelay, listDelay: c.listDelay, distance: c.distance}
 	c.hostStores = append(c.hostStores, hostStore)
+	hostWorkers := &cuttableWorkers{Workers: c.fleet}
+	c.hostWorkers = append(c.hostWorkers, hostWorkers)
 	k := coordinator.New(coordinator.Options{
 		Name: name, Incarnation: incarnation, DataCentre: "brno", Cores: c.cores, MemoryMB: c.memoryMB, PeerAddress: address, Messenger: peers, Store: hostStore, Decoder: jsonDecoder{},
-		Workers: c.fleet, Advisor: failingAdvisor{}, Clock: clockwork.NewRealClock(), Logger: zap.New(c.core).With(zap.String("host", name)),
+		Workers: hostWorkers, Advisor: failingAdvisor{}, Clock: clockwork.NewRealClock(), Logger: zap.New(c.core).With(zap.String("host", name)),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go k.Run(ctx)
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -99,7 +99,7 @@
 // takeOver reads the jobs topic to the end that it has now, which covers all jobs from before the claim,
 // then starts to hold the cell.
 func (k *Coordinator) takeOver(claim journaler.Claim) {
-	isMine := func() bool { return k.state.Claim.Epoch == claim.Epoch && !k.isLeaving }
+	isMine := func() bool { return k.state.Claim.Epoch == claim.Epoch && k.peerEpoch <= claim.Epoch && !k.isLeaving }
 	k.reader.CatchUp(storer.Jobs, func() bool {
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -111,3 +111,26 @@
 		k.startHolding(k.now(), claim)
 	}
 }
+
+// informFormer tells the holder of a former claim of the one in force, unless it released its claim or the
+// claim in force is its own. The caller has the lock.
+func (k *Coordinator) informFormer(former journaler.Claim) {
+	host, found := k.state.Hosts[former.Host]
+	if !found || former.Released || former.Host == k.options.Name || former.Host == k.state.Claim.Host {
+		return
+	}
+	go k.prober.Inform(context.Background(), host, k.state.Claim.Epoch)
+}
+
+// stepDown stops holding the cell if a peer has read a later claim, which this host may be unable to read.
+func (k *Coordinator) stepDown(peer string, epoch int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.peerEpoch = max(k.peerEpoch, epoch)
+	if k.holder == nil || epoch <= k.holder.Epoch() {
+		return
+	}
+	k.options.Logger.Info("claim: A peer has read a later claim.", zap.String("peer", peer), zap.Int64("epoch", epoch))
+	k.stopHolding("A peer has read a later claim.")
+	k.claimsWaker.Wake()
+}
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -114,7 +114,11 @@
 // applyRecord applies a record to the state and passes a changed job to the dispatcher. The
 // caller has the lock.
 func (k *Coordinator) applyRecord(now time.Time, e storer.Entry) {
+	former := k.state.Claim
 	changed, err := k.state.Apply(e.Record, e.Offset)
+	if k.state.Claim.Epoch > former.Epoch {
+		k.informFormer(former)
+	}
 	if err != nil {
 		k.options.Logger.Warn("log: A record could not be applied and is ignored.",
 			zap.String("key", e.Key), zap.Int64("offset", e.Offset), zap.String("error", err.Error()))
--- a/internal/entry/coordinator/former_test.go
+++ b/internal/entry/coordinator/former_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -104,3 +105,26 @@
 		require.Equal(t, seenAt, c.host.former.seenBefore(2))
 	})
 }
+
+// TestTakeoverEndsForALaterClaim guards against a host that begins to hold the cell under a claim although a
+// peer has told it of a later one before.
+func TestTakeoverEndsForALaterClaim(t *testing.T) {
+	for peerEpoch, isHolder := range map[int64]bool{0: true, 2: true, 3: false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newClaimsTest(t)
+			clock := clockwork.NewRealClock()
+			c.host = New(Options{Name: "self", Incarnation: "x", Store: fencer.NewStore(clock), Clock: clock})
+			c.host.isLeaving = true
+			c.apply(c.host.resetClaims, c.batch(c.claim(2, "self")))
+			c.host.isLeaving = false
+			c.host.stepDown("peer", peerEpoch)
+			c.host.takeOver(c.host.state.Claim)
+			isHeld := c.host.IsHolder()
+			c.host.mu.Lock()
+			c.host.stopHolding("The test ends.")
+			c.host.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			require.Equal(t, isHolder, isHeld, "epoch %d", peerEpoch)
+		})
+	}
+}
--- a/internal/entry/coordinator/takeover_test.go
+++ b/internal/entry/coordinator/takeover_test.go
@@ -35,8 +35,8 @@
 	})
 }
 
-// claimedLease returns the lease of the claim in force.
-func (c *cell) claimedLease() time.Duration {
+// claim returns the claim in the store.
+func (c *cell) claim() journaler.Claim {
 	page, err := c.store.Newest(c.t.Context(), storer.Claims, "")
 	require.NoError(c.t, err)
 	state := journaler.New()
@@ -44,7 +44,7 @@
 		_, err := state.Apply(e.Record, e.Offset)
 		require.NoError(c.t, err)
 	}
-	return state.Claim.Lease
+	return state.Claim
 }
 
 // TestClaimCarriesTheLongestLeaseGranted guards against a successor that waits for the longest lease that
@@ -56,11 +56,11 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := newCell(t, 2)
 			defer c.shutDown()
-			require.Equal(t, granted, c.claimedLease())
+			require.Equal(t, granted, c.claim().Lease)
 			c.hosts[c.holder()].Leave(t.Context())
 			time.Sleep(2 * time.Second)
 			require.GreaterOrEqual(t, c.holder(), 0, "no host took over")
-			require.Equal(t, granted, c.claimedLease())
+			require.Equal(t, granted, c.claim().Lease)
 		})
 	})
 	t.Run("a former claim without a lease", func(t *testing.T) {
@@ -73,7 +73,38 @@
 			c.start("h-0", "incarnation-0")
 			time.Sleep(4 * time.Second)
 			require.Equal(t, 0, c.holder())
-			require.Equal(t, accepted, c.claimedLease())
+			require.Equal(t, accepted, c.claim().Lease)
 		})
 	})
 }
+
+// TestHolderWithoutStoreStepsDownForItsSuccessor guards against a holder that is cut off from the store and
+// from the workers of its successor, and goes on as holder until the cut ends.
+func TestHolderWithoutStoreStepsDownForItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, 3)
+		defer c.shutDown()
+		former, epoch := c.holder(), c.claim().Epoch
+		c.hostStores[former].isCutOff.Store(true)
+		c.hostWorkers[former].isCutOff.Store(true)
+		for since := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+			isHolder := c.hosts[former].IsHolder()
+			if c.claim().Epoch > epoch {
+				break
+			}
+			require.True(t, isHolder, "a holder without a successor goes on")
+			require.Less(t, time.Since(since), 4*time.Second, "no host claimed the cell")
+		}
+		time.Sleep(500 * time.Millisecond)
+		require.False(t, c.hosts[former].IsHolder(), "the former holder goes on")
+		require.GreaterOrEqual(t, c.holder(), 0)
+		lines := c.logs.FilterMessage("claim: A peer has read a later claim.").All()
+		require.Len(t, lines, 1)
+		require.Equal(t, epoch+1, lines[0].ContextMap()["epoch"])
+		require.Contains(t, lines[0].ContextMap()["peer"], "h-")
+		require.NotEqual(t, lines[0].ContextMap()["host"], lines[0].ContextMap()["peer"])
+		time.Sleep(10 * time.Second)
+		require.False(t, c.hosts[former].IsHolder(), "a host without the store holds the cell")
+		require.Equal(t, epoch+1, c.hosts[c.holder()].Counts().Epoch, "the claim moved again")
+	})
+}
--- a/internal/entry/prober/prober.go
+++ b/internal/entry/prober/prober.go
@@ -1,15 +1,18 @@
 // Package prober probes the holder, which is the host whose claim in the log makes it the
 // leader of the cell, and checks that it still holds that claim. The log shows a failed holder
 // only after several missing heartbeats; a connection reset or an unanswered probe shows it
-// sooner.
+// sooner. A probe names the newest claim that its sender has read, which tells a holder that is cut off
+// from the log of its successor.
 //
 // # Usage
 //
 //	p := prober.New(prober.Options{
-//		Messenger: peers, Clock: clock, Holder: holder, HostCount: countHosts, HeldEpoch: heldEpoch, OnProbeFailed: readClaims,
+//		Messenger: peers, Clock: clock, Holder: holder, HostCount: countHosts, HeldEpoch: heldEpoch,
+//		OnProbed: stepDown, OnProbeFailed: readClaims,
 //	})
 //	go p.Run(ctx)
 //	view := p.View()
+//	p.Inform(ctx, former, epoch)
 package prober
 
 import (
@@ -38,8 +41,18 @@
 	// replyTimeout bounds a probe. It covers several round trips between regions and the delay on
 	// a busy host.
 	replyTimeout = 350 * time.Millisecond
+	// maxInformAttempts and informInterval bound the attempts to tell a former holder of a later claim. A
+	// former holder that can be reached at all hears of it well before its leases end.
+	maxInformAttempts = 5
+	informInterval    = 400 * time.Millisecond
 )
 
+// probe is the request of a probe.
+type probe struct {
+	// Epoch is the epoch of the newest claim that the sender has read; 0 if it is unknown.
+	Epoch int64 `cbor:"1,keyasint,omitempty"`
+}
+
 // Options configure a Prober.
 type Options struct {
 	// Messenger calls the peers; nil means that there are none.
@@ -53,6 +66,9 @@
 	// HeldEpoch returns the epoch of the claim that this host holds, or 0 if it holds none or can't
 	// persist records under it.
 	HeldEpoch func() int64
+	// OnProbed is called before the reply to each probe, with the peer's name and the epoch of the newest
+	// claim that it has read, 0 if that is unknown; may be nil.
+	OnProbed func(peer string, epoch int64)
 	// OnProbeFailed is called after each failed probe: the holder did not reply, or replied that it no
 	// longer holds the claim or can't persist records under it.
 	OnProbeFailed func()
@@ -87,7 +103,10 @@
 func New(options Options) *Prober {
 	p := &Prober{options: options}
 	if options.Messenger != nil {
-		messenger.Handle(options.Messenger, heldEpochKind, func(context.Context, messenger.Hello, struct{}) (int64, error) {
+		messenger.Handle(options.Messenger, heldEpochKind, func(_ context.Context, from messenger.Hello, request probe) (int64, error) {
+			if options.OnProbed != nil {
+				options.OnProbed(from.Host.Name, request.Epoch)
+			}
 			return options.HeldEpoch(), nil
 		})
 	}
@@ -121,6 +140,20 @@
 	}
 }
 
+// Inform tells a former holder of a claim with a later epoch, as it may not be able to read the log. It
+// returns once the host has replied, or after a few attempts.
+func (p *Prober) Inform(ctx context.Context, former journaler.Host, epoch int64) {
+	if p.options.Messenger == nil {
+		return
+	}
+	for range maxInformAttempts {
+		if err := p.probe(ctx, former, epoch); err == nil || errors.Is(err, errNotHolder) {
+			return
+		}
+		pauser.Pause(ctx, p.options.Clock, informInterval)
+	}
+}
+
 // probe checks that a host holds the claim of an epoch or a later one.
 func (p *Prober) probe(ctx context.Context, holder journaler.Host, epoch int64) error {
 	address, err := netip.ParseAddrPort(holder.Address)
@@ -129,7 +162,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, replyTimeout)
 	defer cancel()
-	held, err := messenger.Call[struct{}, int64](callCtx, p.options.Messenger, address, heldEpochKind, struct{}{})
+	held, err := messenger.Call[probe, int64](callCtx, p.options.Messenger, address, heldEpochKind, probe{Epoch: epoch})
 	if err != nil {
 		return errors.Errorf("probe host %s: %w", holder.Name, err)
 	}
--- a/internal/entry/prober/prober_test.go
+++ b/internal/entry/prober/prober_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -59,3 +60,60 @@
 	require.Eventually(t, func() bool { return !p.View().FailingSince.IsZero() }, longWait, time.Millisecond, "a host that has gone")
 	require.True(t, p.View().IsUnresponsive)
 }
+
+// connect returns the messengers of a host and of a peer of it, and the host.
+func connect(t *testing.T) (own, peer *messenger.Messenger, host journaler.Host) {
+	own = messenger.New(messenger.Options{Self: messenger.Hello{Host: descriptor.HostID{Name: "host"}}})
+	peer = messenger.New(messenger.Options{Self: messenger.Hello{Host: descriptor.HostID{Name: "peer"}}})
+	server := httptest.NewServer(own)
+	t.Cleanup(server.Close)
+	t.Cleanup(own.Close)
+	t.Cleanup(peer.Close)
+	return own, peer, journaler.Host{Name: "host", Address: strings.TrimPrefix(server.URL, "http://")}
+}
+
+// TestInform guards against a former holder that does not hear of a later claim, and against calls to one
+// that has heard of it.
+func TestInform(t *testing.T) {
+	own, peer, host := connect(t)
+	type news struct {
+		peer  string
+		epoch int64
+	}
+	heard := make(chan news, 8)
+	prober.New(prober.Options{
+		Messenger: own, HeldEpoch: func() int64 { return 3 }, OnProbed: func(peer string, epoch int64) { heard <- news{peer, epoch} },
+	})
+	p := prober.New(prober.Options{Messenger: peer, Clock: clockwork.NewRealClock(), HeldEpoch: func() int64 { return 0 }})
+	p.Inform(t.Context(), host, 4)
+	require.Equal(t, news{"peer", 4}, <-heard)
+	require.Empty(t, heard, "the host replied to the first call")
+}
+
+// TestProbesOfOtherVersions guards against hosts that do not reply to each other's probes while a cell is
+// updated: former versions send and expect a request without an epoch.
+func TestProbesOfOtherVersions(t *testing.T) {
+	t.Run("a probe without an epoch", func(t *testing.T) {
+		own, peer, host := connect(t)
+		probed := make(chan int64, 1)
+		prober.New(prober.Options{
+			Messenger: own, HeldEpoch: func() int64 { return 3 }, OnProbed: func(_ string, epoch int64) { probed <- epoch },
+		})
+		held, err := messenger.Call[struct{}, int64](t.Context(), peer, netip.MustParseAddrPort(host.Address), "held", struct{}{})
+		require.NoError(t, err)
+		require.Equal(t, int64(3), held)
+		require.Zero(t, <-probed)
+	})
+	t.Run("a host that knows no epoch in a probe", func(t *testing.T) {
+		own, peer, host := connect(t)
+		messenger.Handle(own, "held", func(context.Context, messenger.Hello, struct{}) (int64, error) { return 3, nil })
+		p := prober.New(prober.Options{
+			Messenger: peer, Clock: clockwork.NewRealClock(), HeldEpoch: func() int64 { return 0 }, HostCount: func() int { return 2 },
+			Holder: func() (journaler.Host, int64, bool) { return host, 3, true }, OnProbeFailed: func() { t.Error("the probe failed") },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.Run(ctx)
+		require.Eventually(t, func() bool { return !p.View().AnsweredAt.IsZero() }, longWait, time.Millisecond)
+	})
+}
