Bound what a holder does without a confirmed append

Cause: a holder that is cut off from the store does not know of its successor. It renewed leases and started tasks for as long as the cut lasted, and took runs for lost by its own clock at workers that it did not reach, while the successor renewed their leases or acknowledged their ends. A successor allowed for 2 s of this, which nothing in the code kept.

Now an append under the claim that succeeds shows that no later holder had claimed when it was sent: - leases of a holder end within 10 s of the sending of its last such append; it starts nothing that could not have a whole lease. The bound is carried in the claim, and a successor waits for it at workers that it does not reach, counted from the last record of a former holder that it read. - what only silence shows (an expired lease, a worker that left, restarted or was replaced) counts once an append has succeeded that was sent after that. The holder appends at once where a decision waits for it.

TestNoTaskRunsTwice no longer ends former holders after 1.9 s by itself: they go on until they are fenced, and 40% of them reach other workers than their successor.

--- a/internal/entry/claimant/claimant.go
+++ b/internal/entry/claimant/claimant.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	c := claimant.New(claimant.Options{Self: name, Incarnation: id, Appender: appender, Clock: clock, Logger: logger})
-//	mayHaveTakenEffect := c.Claim(ctx, epoch, lease, reason)
+//	mayHaveTakenEffect := c.Claim(ctx, journaler.Claim{Epoch: epoch, Lease: lease, Authority: authority}, reason)
 //	sentAt := c.SentAt(epoch)
 package claimant
 
@@ -47,25 +47,24 @@
 // New returns a Claimant.
 func New(options Options) *Claimant { return &Claimant{options: options} }
 
-// Claim appends a claim of an epoch. The lease is the longest one that this holder or one before it
-// grants. Claim returns false if the store refused the append, so that the epoch may be tried again.
-func (c *Claimant) Claim(ctx context.Context, epoch int64, lease time.Duration, reason string) bool {
-	record, err := journaler.NewClaim(journaler.Claim{
-		Epoch: epoch, Host: c.options.Self, Incarnation: c.options.Incarnation, Lease: lease,
-	})
+// Claim appends a claim in the name of this host. It returns false if the store refused the append, so that the
+// epoch may be tried again.
+func (c *Claimant) Claim(ctx context.Context, claim journaler.Claim, reason string) bool {
+	claim.Host, claim.Incarnation = c.options.Self, c.options.Incarnation
+	record, err := journaler.NewClaim(claim)
 	if err != nil {
 		c.options.Logger.Error("claim: Encoding the claim failed; the cell is not claimed.", zap.String("error", err.Error()))
 		return false
 	}
-	c.recordSent(epoch)
+	c.recordSent(claim.Epoch)
 	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	_, err = c.options.Appender.Append(claimCtx, storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: epoch})
+	_, err = c.options.Appender.Append(claimCtx, storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: claim.Epoch})
 	outcome := "appended"
 	if err != nil {
 		outcome = err.Error()
 	}
-	c.options.Logger.Info("claim: Attempted to claim the cell.", zap.Int64("epoch", epoch),
+	c.options.Logger.Info("claim: Attempted to claim the cell.", zap.Int64("epoch", claim.Epoch),
 		zap.String("reason", reason), zap.String("outcome", outcome))
 	return !errors.Is(err, storer.ErrRefused)
 }
--- a/internal/entry/claimant/claimant_test.go
+++ b/internal/entry/claimant/claimant_test.go
@@ -11,6 +11,7 @@
 
 	"lentilrock.example/internal/entry/claimant"
 	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/journaler"
 )
 
 // slowAppender takes a second for each append and returns the errors in turn.
@@ -35,12 +36,12 @@
 	a := &slowAppender{clock: clock, errs: []error{storer.ErrRefused, nil, storer.ErrOutcomeUnknown}}
 	c := claimant.New(claimant.Options{Self: "a", Appender: a, Clock: clock, Logger: zap.NewNop()})
 	require.Zero(t, c.SentAt(3))
-	require.False(t, c.Claim(t.Context(), 3, time.Second, "test"))
+	require.False(t, c.Claim(t.Context(), journaler.Claim{Epoch: 3}, "test"))
 	refusedAt := a.sentAt
-	require.True(t, c.Claim(t.Context(), 3, time.Second, "test"))
+	require.True(t, c.Claim(t.Context(), journaler.Claim{Epoch: 3}, "test"))
 	require.Equal(t, a.sentAt, c.SentAt(3))
 	require.True(t, a.sentAt.After(refusedAt))
-	require.True(t, c.Claim(t.Context(), 4, time.Second, "test"), "a claim of unknown outcome may be in force")
+	require.True(t, c.Claim(t.Context(), journaler.Claim{Epoch: 4}, "test"), "a claim of unknown outcome may be in force")
 	require.Equal(t, a.sentAt, c.SentAt(4))
 	require.Zero(t, c.SentAt(3))
 	require.Zero(t, c.SentAt(5))
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -72,7 +72,8 @@
 	if epoch == firstEpoch {
 		lease = options.OwnLease()
 	}
-	if k.claimant.Claim(ctx, epoch, lease, reason) {
+	claim := journaler.Claim{Epoch: epoch, Lease: lease, Authority: options.LongestAuthority()}
+	if k.claimant.Claim(ctx, claim, reason) {
 		k.mu.Lock()
 		k.attemptedEpoch, k.attemptedAt = epoch, k.now()
 		k.mu.Unlock()
--- a/internal/entry/coordinator/hold.go
+++ b/internal/entry/coordinator/hold.go
@@ -45,7 +45,7 @@
 // caller has the lock.
 func (k *Coordinator) dispatcherOptions() dispatcher.Options {
 	options := k.options.Dispatcher
-	options.FormerLease = k.state.Claim.Lease
+	options.FormerLease, options.FormerAuthority = k.state.Claim.Lease, k.state.Claim.Authority
 	options.Observe = func(name string, duration time.Duration) {
 		k.options.Scope.Histogram(name, measurer.Buckets).RecordDuration(duration)
 	}
--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -21,7 +21,6 @@
 	"go.uber.org/zap"
 
 	"lentilrock.example/internal/container/buffer"
-	"lentilrock.example/internal/entry/confirmer"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
@@ -133,9 +132,6 @@
 	submissions *buffer.Ring[*submission]
 	// saveStopped is closed when saveProgress has returned.
 	saveStopped chan struct{}
-	// claim tells whether the holder may act: the process may have been stopped while another host
-	// claimed the cell.
-	claim confirmer.Confirmer
 
 	mu sync.Mutex
 	// appendedAt is when the last append succeeded, or when the holder was created.
@@ -221,11 +217,9 @@
 		var hasProgress, isFenced bool
 		var newWorkers []string
 		h.update(func(now time.Time, d *dispatcher.Dispatcher) {
-			if h.claim.MayAct(now) {
-				d.Tick(now)
-				orders = d.TakeOrders()
-			}
-			hasProgress, isFenced = d.HasProgress(), d.IsFenced()
+			d.Tick(now)
+			orders = d.TakeOrders()
+			hasProgress, isFenced = d.HasProgress() || d.NeedsConfirmation(), d.IsFenced()
 			newWorkers = h.unpolledWorkers(d)
 			if isFenced {
 				h.options.OnFenced("A worker has accepted the fencing token of a later holder.")
@@ -269,10 +263,6 @@
 			if !isKnown {
 				delete(h.polled, id)
 			}
-			if !h.claim.MayAct(now) {
-				// A successor may wait for the lease to expire.
-				poll.Deadline = 0
-			}
 		})
 		if !isKnown {
 			return
@@ -453,8 +443,7 @@
 	h.appendSequence++
 	call := storer.Append{Topic: storer.Claims, Records: records, Epoch: h.options.Epoch, Sequence: h.appendSequence}
 	isRoster := len(records) == 1 && journaler.IsRoster(records[0])
-	sentAt := h.options.Clock.Now()
-	h.claim.Observe(sentAt)
+	sentAt, mayHaveTakenEffect := h.options.Clock.Now(), false
 	h.recordAppending(sentAt)
 	defer h.recordAppending(time.Time{})
 	for ctx.Err() == nil {
@@ -464,7 +453,7 @@
 		h.recordAppend(err)
 		switch {
 		case err == nil:
-			h.claim.Confirm(sentAt)
+			h.update(func(_ time.Time, d *dispatcher.Dispatcher) { d.Confirm(sentAt) })
 			return offset, nil
 		case errors.Is(err, storer.ErrFenced):
 			h.update(func(time.Time, *dispatcher.Dispatcher) {
@@ -476,6 +465,10 @@
 			return 0, errors.Wrap(err, "append under the claim")
 		}
 		pauser.Pause(ctx, h.options.Clock, saveRetryPause)
+		// The attempt that takes effect may be any one that was not refused, and a successor may claim the cell after it.
+		if mayHaveTakenEffect = mayHaveTakenEffect || !errors.Is(err, storer.ErrRefused); !mayHaveTakenEffect {
+			sentAt = h.options.Clock.Now()
+		}
 	}
 	return 0, errors.Wrap(ctx.Err(), "append under the claim")
 }
--- a/internal/entry/holder/holder_test.go
+++ b/internal/entry/holder/holder_test.go
@@ -17,6 +17,7 @@
 
 	"lentilrock.example/internal/entry/holder"
 	"lentilrock.example/internal/entry/storer"
+	"lentilrock.example/internal/fleet/confirmer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
@@ -47,6 +48,9 @@
 	isSucceeded atomic.Bool
 	// isFailing makes the store refuse the appends for other reasons.
 	isFailing atomic.Bool
+	// losesReplies makes the store lose the replies to appends. replyOnce makes a failing one take a single append.
+	losesReplies atomic.Bool
+	replyOnce    atomic.Bool
 	// maxRecord makes the store reject larger records for good; 0 accepts any.
 	maxRecord atomic.Int64
 }
@@ -103,7 +107,10 @@
 	if h.isSucceeded.Load() {
 		return 0, errors.Errorf("append: %w", storer.ErrFenced)
 	}
-	if h.isFailing.Load() {
+	if h.losesReplies.Load() {
+		return 0, errors.Errorf("append: %w", storer.ErrOutcomeUnknown)
+	}
+	if h.isFailing.Load() && !h.replyOnce.CompareAndSwap(true, false) {
 		return 0, errors.Errorf("append: %w", storer.ErrRefused)
 	}
 	for _, r := range call.Records {
@@ -196,7 +203,7 @@
 		wave := describer.Wave{Number: 1, Machines: []string{"m-w-0", "m-w-1"}, MaxDown: 2, Duration: 30 * time.Second}
 		time.Sleep(2 * time.Second)
 		h.update(nil, func(now time.Time, d *dispatcher.Dispatcher) { d.SetWave(now, wave) })
-		time.Sleep(10 * time.Second)
+		time.Sleep(7 * time.Second)
 		require.Zero(t, h.machines.Upkeeps(1))
 		require.Empty(t, h.machines.Reports())
 		h.isFailing.Store(false)
@@ -206,6 +213,72 @@
 	})
 }
 
+// TestUnconfirmedHolderEndsItsLeases guards against a holder without the store that acts for longer than its successor
+// waits, and against one whose runs lapse in an outage of 9 s.
+func TestUnconfirmedHolderEndsItsLeases(t *testing.T) {
+	for outage, isLapsed := range map[time.Duration]bool{9 * time.Second: false, confirmer.Authority + 500*time.Millisecond: true} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHost(t)
+			time.Sleep(4 * time.Second)
+			h.isFailing.Store(true)
+			time.Sleep(outage)
+			for _, w := range h.fleet.Workers() {
+				require.Equal(t, isLapsed, len(h.fleet.Running(w.ID)) == 0, "worker %s after %v", w.ID, outage)
+			}
+			h.isFailing.Store(false)
+			time.Sleep(2 * time.Second)
+			for index := range 2 {
+				task := describer.TaskRef{Job: job, Index: index}.String()
+				require.Equal(t, isLapsed, h.fleet.Starts(task) == 2, "task %s was started %d times", task, h.fleet.Starts(task))
+			}
+		})
+	}
+}
+
+// TestRepeatedAppendConfirmsItsFirstSending guards against a holder that counts the repeat of an append without a reply as
+// sent later: the first one may have taken effect, and a successor may have claimed the cell since.
+func TestRepeatedAppendConfirmsItsFirstSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t)
+		time.Sleep(time.Second)
+		h.losesReplies.Store(true)
+		sentBy := time.Now().Add(500 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		h.losesReplies.Store(false)
+		h.isFailing.Store(true)
+		time.Sleep(3 * time.Second)
+		h.replyOnce.Store(true)
+		time.Sleep(time.Second)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		require.False(t, h.dispatcher.Registrar().Claim.ConfirmedAt().After(sentBy))
+	})
+}
+
+// TestRunsAreGivenUpOnlyAfterAConfirmation guards against a holder without the store that takes a run for lost by its
+// own clock while its successor renews the lease of the worker, and starts the task again.
+func TestRunsAreGivenUpOnlyAfterAConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost(t)
+		time.Sleep(time.Second)
+		h.isFailing.Store(true)
+		w := h.fleet.Workers()[0]
+		// The successor reaches this worker only, and the former holder the other one only.
+		_, verdict := h.fleet.Poll(t.Context(), orderer.Poll{Worker: w, Token: epoch + 1, Deadline: time.Minute})
+		require.Equal(t, orderer.Accepted, verdict)
+		h.fleet.Update(w.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
+		time.Sleep(30 * time.Second)
+		h.mu.Lock()
+		require.Len(t, h.dispatcher.Registrar().Workers[w.ID].Runs, 1)
+		h.mu.Unlock()
+		h.isFailing.Store(false)
+		time.Sleep(time.Second)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		require.Empty(t, h.dispatcher.Registrar().Workers[w.ID].Runs, "no other host had claimed the cell")
+	})
+}
+
 // TestPausedHolderGoesOn guards against a holder that decides nothing more after a pause in which no other
 // host claimed the cell.
 func TestPausedHolderGoesOn(t *testing.T) {
--- a/internal/entry/holder/machines.go
+++ b/internal/entry/holder/machines.go
@@ -45,7 +45,8 @@
 	}
 	orderCtx, cancel := context.WithTimeout(ctx, machineOrderTimeout)
 	defer cancel()
-	isConfirmed := h.claim.MayOrderUnfenced(h.options.Clock.Now())
+	isConfirmed := false
+	h.update(func(now time.Time, d *dispatcher.Dispatcher) { isConfirmed = d.MayOrderUnfenced(now) })
 	switch o := order.(type) {
 	case orderer.Upkeep:
 		verdict := orderer.UpkeepRefused
--- a/internal/entry/confirmer/confirmer.go
+++ b/internal/fleet/confirmer/confirmer.go
@@ -1,20 +1,24 @@
-// Package confirmer tells whether the claim of a holder was confirmed recently enough for the holder
-// to act. The claim is the record in the log that makes one host the leader of the cell.
+// Package confirmer tells for how long a holder may act. The claim is the record in the log that makes one
+// host the holder, the leader of the cell. A holder that is cut off from the log does not know of its successor.
 //
-// A process may be stopped at any point and go on seconds later, when another host holds the cell.
-// To the process it looks as if leases had expired and drain times had passed. So after a pause the
-// holder decides nothing before an append under its claim has succeeded that was sent after the pause.
-// Orders to services that do not check fencing tokens need a recent append in any case.
+// An append under the claim that succeeds shows that no later holder had claimed the cell when it was sent. All
+// leases that a holder grants end within Authority of that time, and its successor waits for that at the workers
+// that it does not reach. What only silence shows, such as a lease that has expired, counts once an append has
+// succeeded that was sent afterwards: until then a later holder may have renewed the lease.
+//
+// A process may be stopped at any point and go on seconds later. So after a pause the holder decides nothing
+// before an append has succeeded that was sent after the pause. Orders to services that do not check
+// fencing tokens need a recent append in any case.
 //
 // # Usage
 //
 //	var claim confirmer.Confirmer
-//	claim.Observe(clock.Now())
 //	sentAt := clock.Now()
 //	// append under the claim
 //	claim.Confirm(sentAt)
-//	if claim.MayAct(clock.Now()) {
-//		// decide
+//	lease := min(usual, claim.Remaining(clock.Now()))
+//	if worker.Lease.HasExpired(claim.ConfirmedAt()) {
+//		// its runs are lost
 //	}
 package confirmer
 
@@ -24,8 +28,10 @@
 )
 
 const (
-	// maxPause is the longest pause after which the holder goes on without a confirmation. A successor
-	// allows for orders to workers of a former holder until 2 s after its claim.
+	// Authority is how long after the sending of its last append that succeeded the leases of a holder may last.
+	// It covers an outage of the store of 9 s, a heartbeat interval and the first append after the outage.
+	Authority = 10 * time.Second
+	// maxPause is the longest pause after which the holder goes on without a confirmation.
 	maxPause = 2 * time.Second
 	// Validity is how long after it was sent a successful append allows orders that no fencing token
 	// guards. A successor sends no such order in the first 3 s after its claim, which leaves the other
@@ -45,7 +51,7 @@
 	confirmedAt time.Time
 }
 
-// Observe records that the process runs. A time of over two seconds between two observations, which MayAct
+// Observe records that the process runs. A time of over two seconds between two observations, which Remaining
 // and MayOrderUnfenced are as well, counts as a pause.
 func (c *Confirmer) Observe(now time.Time) {
 	c.mu.Lock()
@@ -60,7 +66,8 @@
 	c.observedAt = now
 }
 
-// Confirm records that an append under the claim, which was sent at sentAt, has succeeded.
+// Confirm records that an append under the claim, which was sent at sentAt, has succeeded. The claim itself
+// is the first one.
 func (c *Confirmer) Confirm(sentAt time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -69,13 +76,24 @@
 	}
 }
 
-// MayAct reports whether the holder may decide and renew leases: the claim was confirmed since the last
-// long pause.
-func (c *Confirmer) MayAct(now time.Time) bool {
+// ConfirmedAt returns when the newest append that succeeded was sent; the zero time if none has. No later
+// holder had claimed the cell then.
+func (c *Confirmer) ConfirmedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmedAt
+}
+
+// Remaining returns how long a lease that is granted now may last at most. It is 0 if no append has succeeded
+// within Authority, or none that was sent after the last long pause.
+func (c *Confirmer) Remaining(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.observe(now)
-	return !c.confirmedAt.Before(c.resumedAt)
+	if !c.isConfirmed() {
+		return 0
+	}
+	return max(Authority-elapsed(c.confirmedAt, now), 0)
 }
 
 // MayOrderUnfenced reports whether the holder may send an order to a service that may not check the
@@ -84,7 +102,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.observe(now)
-	return !c.confirmedAt.IsZero() && !c.confirmedAt.Before(c.resumedAt) && elapsed(c.confirmedAt, now) <= Validity
+	return c.isConfirmed() && elapsed(c.confirmedAt, now) <= Validity
+}
+
+// isConfirmed reports whether an append has succeeded since the last long pause.
+func (c *Confirmer) isConfirmed() bool {
+	return !c.confirmedAt.IsZero() && !c.confirmedAt.Before(c.resumedAt)
 }
 
 // elapsed returns the time between two readings of the clock. The monotonic clock does not count the
--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -33,8 +33,10 @@
 	maxLateness = 12 * time.Second
 	// chaosMaxLease is the longest lease that workers accept.
 	chaosMaxLease = 6 * time.Second
-	// actsAfter is how long a former holder may act after its successor's claim.
-	actsAfter = 1900 * time.Millisecond
+	// chaosHeartbeat is how often a holder appends.
+	chaosHeartbeat = 400 * time.Millisecond
+	// chaosRetry is the pause before a holder repeats an append that the store did not take.
+	chaosRetry = 100 * time.Millisecond
 )
 
 // lateStarts lets late starts and stops reach the next life of their worker, too. A start that arrives there before the
@@ -79,6 +81,8 @@
 	// isCutFromStore reports that this holder can't append, and reads no entries newer than listed.
 	isCutFromStore bool
 	listed         []describer.Worker
+	// heartbeatAt is when the holder appends next without anything to persist.
+	heartbeatAt time.Time
 	// seen counts the lives of each worker that have replied to a poll.
 	seen map[string]int
 }
@@ -103,6 +107,8 @@
 	// lives counts the lives of each worker, and onRestart has what a restart does to the orders in flight.
 	lives     map[string]int
 	onRestart map[string][]func()
+	// appendedAt is when a holder last appended to the log.
+	appendedAt time.Time
 	// splits makes each takeover split the cell between the former holder, which loses the store, and its successor.
 	splits bool
 }
@@ -334,24 +340,35 @@
 
 // saveProgress persists the progress of a holder, unless a later one has appended.
 func (x *chaos) saveProgress(a *actor) {
-	if a.isSaving || a.isCutFromStore || x.isStoreDown || !a.d.HasProgress() {
+	if a.isSaving || a.isCutFromStore || x.isStoreDown || !a.d.HasProgress() && !a.d.NeedsConfirmation() && x.clock.Now().Before(a.heartbeatAt) {
 		return
 	}
-	a.isSaving = true
+	a.isSaving, a.heartbeatAt = true, x.clock.Now().Add(chaosHeartbeat)
 	records, batch := a.d.TakeProgress()
-	x.after(x.delay(), func() {
-		if a.epoch != x.epoch {
+	sentAt := x.clock.Now()
+	var attempt func()
+	attempt = func() {
+		switch {
+		case a.isGone:
+			return
+		case a.isCutFromStore || x.isStoreDown:
+			x.after(chaosRetry, attempt)
+			return
+		case a.epoch != x.epoch:
 			a.isGone = true
 			return
 		}
 		x.append(records...)
+		x.appendedAt = x.clock.Now()
 		x.after(x.delay(), func() {
 			a.isSaving = false
 			if !a.isGone {
+				a.d.Confirm(sentAt)
 				a.d.MarkDurable(batch)
 			}
 		})
-	})
+	}
+	x.after(x.delay(), attempt)
 }
 
 // list returns the host list.
@@ -377,52 +394,48 @@
 // takeOver lets another holder claim the cell. The former one may act for a while.
 func (x *chaos) takeOver() {
 	former := x.holder
+	x.options.FormerSeenAt = x.appendedAt
 	x.claim()
 	x.note("FAULT takeover: holder %d", x.epoch)
 	x.holder = &actor{d: x.d, epoch: x.epoch, polled: make(map[string]bool), unreachable: make(map[string]bool), seen: make(map[string]int)}
 	if former == nil {
 		return
 	}
-	if x.splits {
-		x.split(former, x.holder)
-		return
-	}
-	if x.chance(40) {
+	if !x.splits && x.chance(40) {
 		former.isGone = true
 		return
 	}
-	x.after(x.between(0, actsAfter), func() { former.isGone = true })
-	if x.chance(30) {
-		id := x.anyWorker().ID
-		x.holder.unreachable[id] = true
-		x.after(x.between(time.Second, 8*time.Second), func() { delete(x.holder.unreachable, id) })
-	}
-	for range int(actsAfter / (3 * chaosStep)) {
-		x.after(x.between(0, actsAfter), func() { x.tickHolder(former) })
+	former.isCutFromStore = true
+	x.after(x.between(0, 14*time.Second), func() { former.isCutFromStore = false })
+	switch {
+	case x.splits || x.chance(40):
+		x.split(former, x.holder)
+	case x.chance(50):
+		id, successor := x.anyWorker().ID, x.holder
+		successor.unreachable[id] = true
+		x.after(x.between(time.Second, 14*time.Second), func() { delete(successor.unreachable, id) })
 	}
+	x.goOn(former)
 }
 
-// split cuts a former holder off from the store for some seconds, in which it and its successor reach different
-// workers. The former one goes on until it is fenced.
+// split lets a former holder and its successor reach different workers for some seconds.
 func (x *chaos) split(former, successor *actor) {
 	x.note("FAULT split: holders %d and %d reach different workers", former.epoch, successor.epoch)
-	former.isCutFromStore = true
 	for i, info := range x.fleet.Workers() {
 		[]*actor{former, successor}[i%2].unreachable[info.ID] = true
 	}
 	x.after(x.between(2*time.Second, 14*time.Second), func() {
-		former.isCutFromStore = false
 		clear(former.unreachable)
 		clear(successor.unreachable)
 	})
-	var tick func()
-	tick = func() {
-		if !former.isGone {
-			x.tickHolder(former)
-			x.after(3*chaosStep, tick)
-		}
+}
+
+// goOn ticks a former holder until it is fenced.
+func (x *chaos) goOn(former *actor) {
+	if !former.isGone {
+		x.tickHolder(former)
+		x.after(3*chaosStep, func() { x.goOn(former) })
 	}
-	tick()
 }
 
 func (x *chaos) infoOf(id string) describer.Worker {
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -59,6 +59,8 @@
 	placer     *placer.Placer
 	evacuator  *evacuator.Evacuator
 	expirer    expirer.Expirer
+	// isPassive reports that the holder decides nothing, as its claim is not confirmed.
+	isPassive bool
 }
 
 // New returns a dispatcher that takes over the unfinished jobs, the roster of workers and the
@@ -176,19 +178,54 @@
 	return j
 }
 
+// Confirm records that an append under the claim, which was sent at sentAt, has succeeded, so that no other host had
+// claimed the cell then.
+func (d *Dispatcher) Confirm(sentAt time.Time) { d.registrar.Confirm(sentAt) }
+
+// NeedsConfirmation reports whether decisions wait for the next append under the claim.
+func (d *Dispatcher) NeedsConfirmation() bool { return d.registrar.NeedsConfirmation() }
+
+// MayOrderUnfenced reports whether an order to a service that may not check the fencing token may be sent.
+func (d *Dispatcher) MayOrderUnfenced(now time.Time) bool {
+	return d.registrar.Claim.MayOrderUnfenced(now)
+}
+
 // Tick runs the periodic work: it removes runs whose workers have left or whose leases have
 // expired, repeats unacknowledged stops, evacuates machines, places tasks and removes ended
-// jobs.
+// jobs. It decides nothing while the claim is not confirmed.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.registrar.Now = now
+	if !d.observeAuthority() {
+		return
+	}
 	d.watcher.Tick()
 	d.evacuator.Tick(now)
 	d.placer.Place()
 	d.removeEndedJobs()
 }
 
-// TakeOrders returns the orders that were issued since the last call.
-func (d *Dispatcher) TakeOrders() []Order { return d.registrar.TakeOrders() }
+// observeAuthority reports whether the holder may decide, and logs when that changes.
+func (d *Dispatcher) observeAuthority() bool {
+	r := d.registrar
+	mayDecide := r.MayDecide()
+	if mayDecide == d.isPassive {
+		message := "Nothing is decided until an append under the claim succeeds."
+		if mayDecide {
+			message = "An append under the claim has succeeded again."
+		}
+		r.Report(message, "epoch", r.Options.Epoch, "last_append_sent", r.Claim.ConfirmedAt())
+	}
+	d.isPassive = !mayDecide
+	return mayDecide
+}
+
+// TakeOrders returns the orders that were issued since the last call. They wait while the claim is not confirmed.
+func (d *Dispatcher) TakeOrders() []Order {
+	if !d.registrar.MayDecide() {
+		return nil
+	}
+	return d.registrar.TakeOrders()
+}
 
 // SetWorkers applies the workers of the host list.
 func (d *Dispatcher) SetWorkers(now time.Time, listed []describer.Worker) {
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lentilrock.example/internal/fleet/confirmer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
@@ -196,17 +197,17 @@
 		c.run(2 * runTime)
 		require.Equal(t, describer.JobFailed, c.stateOf("a"))
 	})
-	t.Run("a task that may run on an unresponsive worker is not restarted before the lease expires", func(t *testing.T) {
+	t.Run("a task that may run on an unresponsive worker is not restarted before the authority of the former holder ends", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.submit("a", describer.Queue{}, tasks(8))
 		c.run(4 * tickInterval)
 		c.fleet.Update("w-1", func(w *fencer.Worker) { w.IsUnresponsive = true })
 		c.claim()
-		c.run(2 * time.Second)
+		c.run(confirmer.Authority)
 		for _, s := range c.starts {
 			require.Equal(t, int64(1), s.Run, "task %v was started again", s.Task)
 		}
-		c.run(9 * time.Second)
+		c.run(2 * time.Second)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireInvariants()
 	})
@@ -230,7 +231,7 @@
 			c.fleet.Update(start.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
 		}
 		c.claim()
-		c.run(10 * time.Second)
+		c.run(confirmer.Authority + 7*time.Second)
 		require.NotEmpty(t, c.starts)
 		c.requireInvariants()
 	})
@@ -244,7 +245,7 @@
 		c.run(2 * time.Second)
 		require.Len(t, c.starts, 16, "the eight tasks that were never started must start, the four on the unresponsive worker must not")
 		c.requireStartedOnce()
-		c.run(9 * time.Second)
+		c.run(confirmer.Authority)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireInvariants()
 	})
@@ -269,7 +270,7 @@
 		c.run(2 * runTime)
 		require.Equal(t, describer.JobCompleted, c.stateOf("b"))
 		c.requireStartedOnce()
-		c.run(9 * time.Second)
+		c.run(confirmer.Authority + time.Second)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireInvariants()
 	})
@@ -326,7 +327,7 @@
 		c.run(2 * runTime)
 		require.Equal(t, describer.JobCompleted, c.stateOf("b"))
 		require.NotEqual(t, describer.JobCompleted, c.stateOf("a"), "the unresponsive worker may still run some of its tasks")
-		c.run(9 * time.Second)
+		c.run(confirmer.Authority + time.Second)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireInvariants()
 	})
@@ -360,14 +361,28 @@
 			c := newCell(t, 2)
 			c.submit("a", describer.Queue{}, tasks(8))
 			c.run(4 * tickInterval)
-			c.fleet.Update("w-1", func(w *fencer.Worker) { w.IsUnresponsive = true })
 			c.options = dispatcher.Options{FormerLease: former, MaxLease: 10 * time.Second}
 			c.claim()
+			// The worker has seen the fencing token, so that only the lease counts that it has.
+			c.run(tickInterval)
+			c.fleet.Update("w-1", func(w *fencer.Worker) { w.IsUnresponsive = true })
 			c.run(7500 * time.Millisecond)
 			require.Equal(t, isDone, c.stateOf("a") == describer.JobCompleted, "former lease %v", former)
 			c.requireInvariants()
 		}
 	})
+	t.Run("the authority of former holders is counted from their last record, not from the claim", func(t *testing.T) {
+		for age, isDone := range map[time.Duration]bool{3 * time.Second: true, 0: false} {
+			c := newCell(t, 2)
+			c.submit("a", describer.Queue{}, tasks(8))
+			c.run(4 * tickInterval)
+			c.fleet.Update("w-1", func(w *fencer.Worker) { w.IsUnresponsive = true })
+			c.options = dispatcher.Options{FormerSeenAt: c.clock.Now().Add(-age)}
+			c.claim()
+			c.run(confirmer.Authority - time.Second)
+			require.Equal(t, isDone, c.stateOf("a") == describer.JobCompleted, "last record %v before the claim", age)
+		}
+	})
 	t.Run("a poll by a former holder is fenced", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.run(2 * tickInterval)
@@ -457,6 +472,37 @@
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireInvariants()
 	})
+	t.Run("a task whose run was lost without a result starts again only after a confirmation", func(t *testing.T) {
+		for name, lose := range map[string]func(c *cell){
+			"restarted": func(c *cell) { c.fleet.Restart("w-0", 2) },
+			"replaced":  func(c *cell) { c.fleet.Update("w-0", func(w *fencer.Worker) { w.IsReplaced = true }) },
+			"left": func(c *cell) {
+				c.fleet.Update("w-0", func(w *fencer.Worker) { w.Info.Draining = true })
+				c.run(2 * tickInterval)
+				c.fleet.Update("w-0", func(w *fencer.Worker) { w.HasExited = true })
+				c.listed = c.fleet.Workers()[1:]
+			},
+		} {
+			t.Run(name, func(t *testing.T) {
+				c := newCell(t, 1)
+				step := tasks(1)
+				step.LongRunning = true
+				c.submit("a", describer.Queue{}, step)
+				c.run(4 * tickInterval)
+				require.Equal(t, 1, c.fleet.Starts("a.0.0.0"))
+				c.fleet.Add(describer.Worker{ID: "w-1", Service: "kitchen", Capacity: describer.Resources{MilliCPU: 4000, MemoryMB: 8000}, Incarnation: 1})
+				c.run(4 * tickInterval)
+				c.isStoreDown = true
+				lose(c)
+				c.run(time.Second)
+				require.Equal(t, 1, c.fleet.Starts("a.0.0.0"), "a later holder may have acknowledged a result")
+				require.True(t, c.d.NeedsConfirmation())
+				c.isStoreDown = false
+				c.run(time.Second)
+				require.Equal(t, 2, c.fleet.Starts("a.0.0.0"))
+			})
+		}
+	})
 	t.Run("tasks of an unresponsive worker start elsewhere once its lease has expired", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.run(6 * time.Second)
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -90,7 +90,7 @@
 	require.NoError(c.t, err)
 	c.append(record)
 	options := c.options
-	options.Epoch = c.epoch
+	options.Epoch, options.ClaimSentAt = c.epoch, c.clock.Now()
 	c.d = dispatcher.New(options, c.state, c.clock.Now())
 }
 
@@ -238,7 +238,11 @@
 }
 
 func (c *cell) save() {
-	if c.isStoreDown || !c.d.HasProgress() {
+	if c.isStoreDown {
+		return
+	}
+	c.d.Confirm(c.clock.Now())
+	if !c.d.HasProgress() {
 		return
 	}
 	records, batch := c.d.TakeProgress()
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -315,7 +315,7 @@
 // now. A worker that may have runs of a former holder is not evacuated yet. isEvacuated stops the
 // other runs that can resume from a checkpoint at once, and the rest after the drain time.
 func (e *Evacuator) isEvacuated(w *wave, id string, worker *monitor.Worker) bool {
-	if worker.MayHaveUnknownRuns(e.Now) {
+	if worker.MayHaveUnknownRuns(e.Claim.ConfirmedAt()) {
 		return false
 	}
 	isTimedOut := e.Now.Sub(w.evacuatingSince[id]) >= w.drainTime()
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -73,6 +73,9 @@
 	Released bool `cbor:"4,keyasint,omitempty"`
 	// Lease is the longest lease that this holder or one before it grants; 0 if it is unknown.
 	Lease time.Duration `cbor:"5,keyasint,omitempty"`
+	// Authority is the longest time after the sending of its last append for which the leases of this holder or of one
+	// before it last; 0 if it is unknown.
+	Authority time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Heartbeat is a heartbeat of the holder.
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -77,8 +77,8 @@
 func (p *Placer) mayHaveUnknownRuns() (isUnknown, isUnlisted bool) {
 	isUnknown, isUnlisted = len(p.Ordered) == 0, len(p.Ordered) == 0
 	for _, w := range p.Ordered {
-		isUnknown = isUnknown || w.MayHaveUnknownRuns(p.Now)
-		isUnlisted = isUnlisted || w.MayHaveUnlistedRuns(p.Now)
+		isUnknown = isUnknown || w.MayHaveUnknownRuns(p.Claim.ConfirmedAt())
+		isUnlisted = isUnlisted || w.MayHaveUnlistedRuns(p.Claim.ConfirmedAt())
 	}
 	return isUnknown, isUnlisted
 }
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -136,13 +136,15 @@
 	return poll
 }
 
-// nextPoll returns a poll that acknowledges nothing.
+// nextPoll returns a poll that acknowledges nothing. The lease ends within the authority of the holder.
 func (s *Reconciler) nextPoll(w *monitor.Worker) orderer.Poll {
 	poll := orderer.Poll{Worker: w.Info, Token: s.Options.Epoch, SentAt: s.Now, Incarnation: w.Incarnation}
 	w.PollSent()
 	if w.IsSynced && !w.HasFailedPoll {
 		poll.Wait = s.Options.PollWait
-		poll.Deadline = w.Lease.Extend(s.Now, s.Options.Lease)
+		if lease := s.GrantableLease(); lease > 0 {
+			poll.Deadline = w.Lease.Extend(s.Now, lease)
+		}
 	}
 	return poll
 }
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -13,8 +13,10 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
+	"lentilrock.example/internal/fleet/confirmer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/monitor"
@@ -30,6 +32,8 @@
 	defaultPollWait = 700 * time.Millisecond
 	// defaultMaxLease is the longest lease that a worker accepts.
 	defaultMaxLease = 6 * time.Second
+	// maxAuthority bounds what a claim in the log may say of the authority of former holders.
+	maxAuthority = time.Minute
 	// defaultHistory is how long the state of ended jobs can be queried: the time that callers
 	// are promised, and a margin for submissions that are repeated and still in flight.
 	defaultHistory = 3 * time.Minute
@@ -47,10 +51,12 @@
 	MaxLease time.Duration
 	// FormerLease is the longest lease that former holders may have granted.
 	FormerLease time.Duration
-	// ClaimSentAt is when the append of the claim was first sent; zero if it is unknown.
-	ClaimSentAt time.Time
-	// FormerSeenAt is when the last record of a former holder was read, which was sent before that; zero if
-	// it is unknown.
+	// FormerAuthority is the longest time after the sending of their last append for which the leases of former
+	// holders last.
+	FormerAuthority time.Duration
+	// ClaimSentAt is when the append of the claim was first sent; zero if it is unknown. FormerSeenAt is when the last
+	// record of a former holder was read; if it is zero, the time of New counts.
+	ClaimSentAt  time.Time
 	FormerSeenAt time.Time
 	// History is how long the state of ended jobs can be queried.
 	History time.Duration
@@ -73,6 +79,10 @@
 	return max(o.Lease, o.FormerLease)
 }
 
+// LongestAuthority returns the longest time after the sending of its last append for which the leases of a holder with
+// these options, or of a former holder, last.
+func (o Options) LongestAuthority() time.Duration { return o.withDefaults().FormerAuthority }
+
 // OwnLease returns the longest lease that a holder with these options grants.
 func (o Options) OwnLease() time.Duration { return o.withDefaults().Lease }
 
@@ -85,6 +95,7 @@
 	if o.FormerLease <= 0 || o.FormerLease > o.MaxLease {
 		o.FormerLease = o.MaxLease
 	}
+	o.FormerAuthority = min(max(o.FormerAuthority, confirmer.Authority), maxAuthority)
 	o.RemoteFactor = max(o.RemoteFactor, 1)
 	if o.Observe == nil {
 		o.Observe = func(string, time.Duration) {}
@@ -114,19 +125,84 @@
 	Ordered   []*monitor.Worker
 	Jobs      map[describer.JobID]*tasker.Job
 	Persister persister.Persister
+	// Claim tells for how long the holder may act.
+	Claim confirmer.Confirmer
+	// FormerSeenAt is when the last record of a former holder was read, which was sent before that.
+	FormerSeenAt time.Time
 	// IsFenced reports that a worker or the platform refused an order because it has seen a later
 	// fencing token, so that a later holder exists.
 	IsFenced bool
 	orders   []Order
+	// held are the tasks that wait for an append that is sent after their run was lost. needsConfirmation reports
+	// that another decision waits for one.
+	held              []heldTask
+	needsConfirmation bool
+}
+
+// heldTask is a task whose run was lost at a time.
+type heldTask struct {
+	task  *tasker.Task
+	since time.Time
 }
 
 // New returns a registrar without jobs and workers.
 func New(options Options, state *journaler.State, now time.Time) *Registrar {
-	return &Registrar{
-		Options: options.withDefaults(), Now: now, ClaimedAt: now, State: state,
+	r := &Registrar{
+		Options: options.withDefaults(), Now: now, ClaimedAt: now, FormerSeenAt: options.FormerSeenAt, State: state,
 		Queues: make(map[string]describer.Queue), Workers: make(map[string]*monitor.Worker),
 		Jobs: make(map[describer.JobID]*tasker.Job),
 	}
+	if r.FormerSeenAt.IsZero() {
+		r.FormerSeenAt = now
+	}
+	r.Claim.Observe(now)
+	if !options.ClaimSentAt.IsZero() {
+		r.Claim.Confirm(options.ClaimSentAt)
+	}
+	return r
+}
+
+// MayDecide reports whether the holder may start tasks and send other orders: leases that it grants now may last as
+// long as usual.
+func (r *Registrar) MayDecide() bool { return r.Claim.Remaining(r.Now) >= r.Options.Lease }
+
+// GrantableLease returns how long a lease that is granted now may last; 0 if none may be granted.
+func (r *Registrar) GrantableLease() time.Duration {
+	return min(r.Options.Lease, r.Claim.Remaining(r.Now))
+}
+
+// Hold prevents a task whose run was lost from starting until the claim is confirmed. The task may be nil.
+func (r *Registrar) Hold(t *tasker.Task) {
+	if t == nil {
+		return
+	}
+	t.IsHeld = true
+	r.held = append(r.held, heldTask{t, r.Now})
+}
+
+// RequestConfirmation records that a decision waits for an append that is sent from now on.
+func (r *Registrar) RequestConfirmation() { r.needsConfirmation = true }
+
+// NeedsConfirmation reports whether a decision waits for the next append.
+func (r *Registrar) NeedsConfirmation() bool {
+	return r.needsConfirmation || len(r.held) > 0 || !r.MayDecide()
+}
+
+// Confirm records that an append under the claim, which was sent at sentAt, has succeeded.
+func (r *Registrar) Confirm(sentAt time.Time) {
+	r.Claim.Confirm(sentAt)
+	r.needsConfirmation = false
+	released := slices.IndexFunc(r.held, func(h heldTask) bool { return !h.since.Before(sentAt) })
+	if released < 0 {
+		released = len(r.held)
+	}
+	for _, h := range r.held[:released] {
+		h.task.IsHeld = false
+	}
+	r.held = slices.Delete(r.held, 0, released)
+	for _, h := range r.held {
+		h.task.IsHeld = true
+	}
 }
 
 // Report writes a log line.
--- a/internal/fleet/tasker/task.go
+++ b/internal/fleet/tasker/task.go
@@ -26,6 +26,9 @@
 	FailedAt map[string]bool
 	// NotBefore is the earliest time of the next start (backoff).
 	NotBefore time.Time
+	// IsHeld reports that a run of the task was lost without a result, and that the claim was not confirmed since:
+	// a later holder may have acknowledged its result.
+	IsHeld bool
 	// UnplacedSince is when placing the task first failed after its last start; zero if it has not
 	// failed. It is set for long-running tasks only.
 	UnplacedSince time.Time
@@ -76,7 +79,7 @@
 // unless the step allows speculative copies.
 func (t *Task) IsWaiting(now time.Time) bool {
 	hasRun := t.Run != nil || len(t.runs) > 0 && !t.Step.Spec.Speculative
-	return !t.Done && !hasRun && !t.NotBefore.After(now)
+	return !t.Done && !hasRun && !t.IsHeld && !t.NotBefore.After(now)
 }
 
 // Finish marks the task as done, or all tasks of its gang. It reports whether any of them was
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -58,8 +58,8 @@
 			wt.pollFailed(w, verdict)
 		}
 	default:
-		if verdict == orderer.NoListener && isItsAddress && poll.SentAt.After(w.RefusedPollAt) {
-			w.RefusedPollAt = poll.SentAt
+		if verdict == orderer.NoListener && isItsAddress {
+			w.PollRefused(poll.SentAt, wt.Now)
 		}
 		wt.pollFailed(w, verdict)
 	}
@@ -119,6 +119,7 @@
 	}
 	w.HasFailedPoll, w.Lease.ExpiresAt = true, time.Time{}
 	for _, r := range w.Runs {
+		wt.Hold(r.Task)
 		wt.reconciler.Resolve(r)
 	}
 }
@@ -139,6 +140,7 @@
 	w.BeginIncarnation(incarnation, wt.Now)
 	needsPoll := false
 	for _, r := range w.Runs {
+		wt.Hold(r.Task)
 		switch {
 		case r.ConfirmedAt.IsZero():
 			r.Stopping, r.StopAckedAt = true, time.Time{}
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -28,10 +28,6 @@
 	"lentilrock.example/internal/fleet/throttler"
 )
 
-// renewalSlack is how long after the claim a former holder may still renew leases, until the
-// workers have seen the new fencing token and refuse it.
-const renewalSlack = 2 * time.Second
-
 // Watcher tracks the workers of a registrar and their leases.
 type Watcher struct {
 	*registrar.Registrar
@@ -103,10 +99,10 @@
 	}
 }
 
-// add adds a worker that may have runs of a former holder. These can go on until the longest
-// lease that a former holder may have granted has expired.
+// add adds a worker that may have runs of a former holder. These can go on until the authority of the
+// former holders has ended, unless the worker has seen the fencing token of this holder.
 func (wt *Watcher) add(info describer.Worker) *monitor.Worker {
-	w := monitor.New(info, wt.ClaimedAt.Add(leaser.ExpiryOf(wt.Options.FormerLease)+renewalSlack))
+	w := monitor.New(info, wt.FormerSeenAt.Add(leaser.ExpiryOf(wt.Options.FormerAuthority)))
 	wt.Workers[info.ID] = w
 	wt.Ordered = append(wt.Ordered, w)
 	return w
@@ -115,13 +111,13 @@
 // expectLongestLease allows for the longest lease that a worker accepts, which it took from a former holder as it had
 // just begun: deadlines on the clock of its former incarnation lie far ahead of its own.
 func (wt *Watcher) expectLongestLease(w *monitor.Worker) {
-	w.Lease.Cover(wt.ClaimedAt.Add(renewalSlack), wt.Options.MaxLease)
+	w.Lease.Cover(wt.FormerSeenAt.Add(wt.Options.FormerAuthority), wt.Options.MaxLease)
 }
 
 // removeExpired removes the workers that are not listed, have no runs and no valid lease.
 func (wt *Watcher) removeExpired() {
 	wt.Ordered = slices.DeleteFunc(wt.Ordered, func(w *monitor.Worker) bool {
-		if w.IsListed || len(w.Runs) > 0 || !w.HasExpired(wt.Now) {
+		if w.IsListed || len(w.Runs) > 0 || !w.HasExpired(wt.Now, wt.Claim.ConfirmedAt()) {
 			return false
 		}
 		wt.Report("A worker is no longer listed and its lease has expired. It is removed.", "worker", w.Info.ID)
@@ -144,7 +140,10 @@
 // tickWorker resolves the runs of a worker that has left or whose lease has expired, and
 // repeats its unacknowledged stops.
 func (wt *Watcher) tickWorker(w *monitor.Worker) {
-	isGone := w.HasExpired(wt.Now) || w.HasLeft()
+	isGone := w.IsGone(wt.Now, wt.Claim.ConfirmedAt())
+	if !isGone && w.IsGone(wt.Now, wt.Now) {
+		wt.RequestConfirmation()
+	}
 	if w.EndLongestLease(wt.Now) {
 		wt.Persister.MarkRosterChanged()
 	}
@@ -153,7 +152,7 @@
 		switch {
 		case isGone:
 			wt.Options.Count("runs_lost")
-			wt.Report("A run is lost because its worker left or its lease expired.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID)
+			wt.Report("A run is lost because its worker left or its lease expired.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID, "epoch", wt.Options.Epoch)
 			wt.reconciler.Resolve(r)
 		case r.Stopping && r.StopAckedAt.IsZero() && wt.Now.Sub(r.StopSentAt) >= monitor.RetryPause && !w.HasFailedPoll:
 			wt.reconciler.SendStop(r)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -71,8 +71,23 @@
   'if w.IsSynced && !w.HasFailedPoll {' 'if w.IsSynced {' $dispatcher 'TestWorkers/tasks_of_an_unresponsive'
 mutant "fence: runs of a replaced worker are lost" internal/fleet/watcher/poll.go \
   'wt.workerReplaced(w)' 'w.HasFailedPoll = true' $dispatcher 'TestWorkers/tasks_of_a_replaced'
-mutant "fence: a holder that was paused decides nothing before its claim is confirmed" internal/entry/holder/holder.go \
-  'if h.claim.MayAct(now) {' 'if true {' internal/entry/holder 'TestPausedHolderDecidesNothing'
+mutant "fence: a holder that was paused decides nothing before its claim is confirmed" internal/fleet/confirmer/confirmer.go \
+  ' && !c.confirmedAt.Before(c.resumedAt)' '' internal/fleet/confirmer 'TestConfirmer'
+mutant "fence: a lease counts as expired only after a confirmation" internal/fleet/monitor/monitor.go \
+  'return w.Lease.HasExpired(confirmedAt) && now' 'return w.Lease.HasExpired(now) && now' internal/entry/holder 'TestPausedHolderDecidesNothing|TestRunsAreGivenUp'
+mutant "fence: a holder without confirmation starts nothing" internal/fleet/registrar/registrar.go \
+  'return r.Claim.Remaining(r.Now) >= r.Options.Lease' 'return true' internal/entry/holder 'TestUnconfirmedHolderEndsItsLeases'
+mutant "fence: leases end with the authority of the holder" internal/fleet/registrar/registrar.go \
+  'return min(r.Options.Lease, r.Claim.Remaining(r.Now))' 'return r.Options.Lease' internal/entry/holder 'TestUnconfirmedHolderEndsItsLeases'
+mutant "fence: a successor waits for the authority of former holders" internal/fleet/watcher/watcher.go \
+  'leaser.ExpiryOf(wt.Options.FormerAuthority)' 'leaser.ExpiryOf(wt.Options.FormerLease)' $dispatcher 'TestTakeover/a_task_that_may'
+mutant "fence: a task whose run was lost starts only after a confirmation" internal/fleet/registrar/registrar.go \
+  't.IsHeld = true
+	r.held' 'r.held' $dispatcher 'TestWorkers/a_task_whose_run_was_lost'
+mutant "fence: a worker has left only after a confirmation" internal/fleet/monitor/monitor.go \
+  ' && w.RefusedAt.Before(confirmedAt)' '' $dispatcher 'TestWorkers/a_task_whose_run_was_lost'
+mutant "fence: a repeat of an append confirms the claim as of its first sending" internal/entry/holder/holder.go \
+  '; !mayHaveTakenEffect {' '; true {' internal/entry/holder 'TestRepeatedAppendConfirms'
 mutant "fence: a holder that was paused orders no upkeep before its claim is confirmed" internal/entry/holder/machines.go \
   'if isConfirmed {
 			verdict' 'if true {
@@ -92,7 +107,7 @@
 mutant "fence: a failure is counted once" internal/fleet/tasker/task.go \
   '(*failures)[number] = true' '(*failures)[int64(len(*failures))+1000] = true' $dispatcher 'TestTakeover/a_failure'
 mutant "fence: tasks wait for workers that have not replied" internal/fleet/monitor/monitor.go \
-  'return isUnread && w.MayHaveUnlistedRuns(now)' 'return false && isUnread' $dispatcher 'TestTakeover/a_task_that_may'
+  'return isUnread && w.MayHaveUnlistedRuns(confirmedAt)' 'return false && isUnread' $dispatcher 'TestTakeover/a_task_that_may'
 mutant "fence: a run that was confirmed after a poll was sent is not resolved by its reply" internal/fleet/watcher/poll.go \
   'case r.ConfirmedAt.After(poll.SentAt):' 'case false && needsPoll:' $dispatcher 'TestWorkers/a_run_that_a_restarted'
 mutant "fence: an extra poll acknowledges nothing" internal/fleet/reconciler/order.go \
@@ -134,7 +149,7 @@
 mutant "fence: no start before the progress is durable, so that a successor learns of it" internal/fleet/placer/placer.go \
   'return j.FirstProgressBatch <= p.Persister.LastDurable()' 'return true' $dispatcher 'TestTakeover/a_job_without_persisted'
 mutant "fence: a worker that left does not block starts" internal/fleet/monitor/monitor.go \
-  ' && !w.HasLeft()' '' $dispatcher 'TestTakeover/a_worker_that_drained'
+  ' && !w.HasLeft(confirmedAt)' '' $dispatcher 'TestTakeover/a_worker_that_drained'
 mutant "sharing: only steps that allow it have speculative copies" internal/fleet/tasker/ready.go \
   'if s.Spec.Speculative && !s.Spec.Gang && s.IsReady(now) {' 'if !s.Spec.Gang && s.IsReady(now) {' $dispatcher 'TestSpeculativeCopies/a_task_that_does_not_allow'
 mutant "sharing: a missed objective stops filler tasks" internal/fleet/pacer/pacer.go \
