Move parts of the coordinator to the packages that own them

Behaviour is the same:

- The records of former holders are tracker.FormerRecords.
- The claimant runs the elections and keeps the last attempt next to the time of sending. attemptedAt is still when the reply to the append arrived and leaves out refused attempts; sentAt is still when the append was sent.
What to claim is still decided in the coordinator, under its lock. attemptedAt is now taken without waiting for that lock.
- The prober decides whether a former holder must hear of a claim, since it already tells it.
- The new package internal/entry/clerk submits and cancels jobs and reports their states.
- The measurer makes the functions by which a dispatcher records metrics.
- The line "This host holds the cell." leaves out an unknown age by zap.Skip.

Tests: Claim no longer returns whether the claim may be in force, which nothing else would read. TestSentAtIsNotAfterTheAppend requires the same of Attempted instead, with the time, and has a refused attempt more. The cases of TestLastRecordOfFormerHoldersCounts stay, as all of them go through the coordinator. New tests cover what has moved.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 	"lentilrock.example/internal/entry/cataloger"
 	"lentilrock.example/internal/entry/checker"
 	"lentilrock.example/internal/entry/claimant"
+	"lentilrock.example/internal/entry/clerk"
 	"lentilrock.example/internal/entry/delegator"
 	"lentilrock.example/internal/entry/distributor"
 	"lentilrock.example/internal/entry/follower"
@@ -58,7 +59,7 @@
 // Errors returned to callers.
 var (
 	// ErrNotReady means that the host has not read the configuration and the log of its cell yet.
-	ErrNotReady = errors.New("the host does not know its cell yet")
+	ErrNotReady = clerk.ErrNotReady
 	// ErrJobNotFound means that the job, or a queue for a path, does not exist.
 	ErrJobNotFound = resolver.ErrJobNotFound
 	// ErrTooLarge means that a job is larger than the store or the hosts of the cell can take.
@@ -98,6 +99,7 @@
 	accepter     *accepter.Accepter
 	forwarder    *forwarder.Forwarder
 	router       *router.Router
+	clerk        *clerk.Clerk
 	announcer    *announcer.Announcer
 	resolver     *resolver.Resolver
 	reader       follower.Reader
@@ -120,7 +122,7 @@
 	// reads has what was read from the store, and when.
 	reads tracker.Tracker
 	// former tells when records of former holders were read.
-	former formerRecords
+	former tracker.FormerRecords
 	// heartbeatAt is when a new record of the holder was last read, holderOffset the offset of
 	// that record.
 	heartbeatAt  time.Time
@@ -132,10 +134,7 @@
 	takeoverEpoch int64
 	// peerEpoch is the highest epoch of a claim that a peer has read.
 	peerEpoch int64
-	// attemptedEpoch is the highest epoch that this host tried to claim, at attemptedAt.
-	attemptedEpoch int64
-	attemptedAt    time.Time
-	isLeaving      bool
+	isLeaving bool
 }
 
 // New returns a coordinator that has not read anything yet. Run starts it.
@@ -172,12 +171,15 @@
 		},
 		Store: o.Store, Clock: o.Clock, Logger: o.Logger,
 	})
-	k.claimant = claimant.New(claimant.Options{Self: o.Name, Incarnation: o.Incarnation, Appender: k.repeater, Clock: o.Clock, Logger: o.Logger})
+	k.claimant = claimant.New(claimant.Options{
+		Self: o.Name, Incarnation: o.Incarnation, Appender: k.repeater, Clock: o.Clock, Logger: o.Logger,
+		Decide: k.decideClaim, Terms: k.claimTerms, OnAttempted: k.claimsWaker.Wake,
+	})
 	k.distributor = distributor.New(distributor.Options{
 		Self: o.Name, DataCentre: o.DataCentre, Advisor: o.Advisor, Messenger: o.Messenger, Hosts: k.hosts, Clock: o.Clock,
 	})
 	k.prober = prober.New(prober.Options{
-		Messenger: o.Messenger, Clock: o.Clock, Holder: k.remoteClaim, HeldEpoch: k.heldEpoch,
+		Self: o.Name, Messenger: o.Messenger, Clock: o.Clock, Holder: k.remoteClaim, HeldEpoch: k.heldEpoch,
 		OnProbed: k.stepDown, OnProbeFailed: k.claimsWaker.Wake, HostCount: func() int { return len(k.hosts()) },
 	})
 	k.resigner = resigner.New(resigner.Options{
@@ -218,6 +220,9 @@
 		Submitter: k.accepter, Forwarder: k.forwarder, View: k.prober.View, Clock: o.Clock, Scope: o.Scope,
 		IsStoreDown: k.isStoreDown, StoreReplies: k.storeReplies,
 	})
+	k.clerk = clerk.New(clerk.Options{
+		View: k.jobView, Admit: k.admit, Resolve: k.resolver.Status, HasReadJobs: k.hasReadJobs, Persist: k.router.Persist, Clock: o.Clock,
+	})
 }
 
 // initOperators creates the handler of operators' commands.
@@ -239,7 +244,7 @@
 		loops.Go(func() { f.Run(ctx) })
 	}
 	loops.Go(func() { k.announcer.Run(ctx) })
-	loops.Go(func() { k.runElections(ctx) })
+	loops.Go(func() { k.claimant.Run(ctx) })
 	loops.Go(func() { k.prober.Run(ctx) })
 	loops.Go(func() { k.resigner.Run(ctx) })
 	loops.Wait()
--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,15 +10,9 @@
 	"lentilrock.example/internal/entry/resigner"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/journaler"
-	"lentilrock.example/internal/node/pauser"
 )
 
 const (
-	// electionInterval is how often a host checks whether to claim the cell.
-	electionInterval = 50 * time.Millisecond
-	// claimRetryPause is the pause after an attempt to claim the cell, so that a claim that the store
-	// refused is not retried at once.
-	claimRetryPause = 400 * time.Millisecond
 	// firstClaimDelay lets the hosts of a new cell read each other's announcements before one of
 	// them claims the cell.
 	firstClaimDelay = 300 * time.Millisecond
@@ -27,24 +20,12 @@
 	firstEpoch = 1
 )
 
-// runElections periodically checks whether this host must claim the cell, and claims it.
-func (k *Coordinator) runElections(ctx context.Context) {
-	for ctx.Err() == nil {
-		pauser.Pause(ctx, k.options.Clock, electionInterval)
-		k.mu.Lock()
-		epoch, reason := k.decideClaim(k.now())
-		k.mu.Unlock()
-		if reason == "" {
-			continue
-		}
-		k.appendClaim(ctx, epoch, reason)
-		pauser.Pause(ctx, k.options.Clock, claimRetryPause)
-	}
-}
-
 // decideClaim returns the epoch to claim and the reason, or an empty reason if this host must not
-// claim. The caller has the lock.
-func (k *Coordinator) decideClaim(now time.Time) (int64, string) {
+// claim.
+func (k *Coordinator) decideClaim() (int64, string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
 	if k.isLeaving || k.holder != nil || !k.hasReadCell() || k.catalog.ListedAt.IsZero() {
 		return 0, ""
 	}
@@ -55,30 +36,24 @@
 	if probed.Epoch != k.state.Claim.Epoch {
 		probed = prober.View{}
 	}
+	attemptedEpoch, attemptedAt := k.claimant.Attempted()
 	return elector.Decide(elector.View{
 		Self: k.options.Name, Incarnation: k.options.Incarnation, Claim: k.state.Claim,
 		ReadAt: k.reads.ClaimsAt, FailedAt: k.reads.ClaimsFailedAt, HeartbeatAt: k.heartbeatAt, StoreDelay: k.announcer.StoreDelay(), IsSmall: resigner.IsSmall(k.options.Cores, k.liveHosts()),
-		ConfirmedAt: probed.AnsweredAt, UnansweredSince: probed.FailingSince, AttemptedEpoch: k.attemptedEpoch, AttemptedAt: k.attemptedAt,
+		ConfirmedAt: probed.AnsweredAt, UnansweredSince: probed.FailingSince, AttemptedEpoch: attemptedEpoch, AttemptedAt: attemptedAt,
 	}, now)
 }
 
-// appendClaim appends a claim. Whether it won is read from the log. An epoch is attempted
-// again only if the store refused the append.
-func (k *Coordinator) appendClaim(ctx context.Context, epoch int64, reason string) {
+// claimTerms returns the claim of an epoch with the lease and the authority that it carries.
+func (k *Coordinator) claimTerms(epoch int64) journaler.Claim {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	options := k.dispatcherOptions()
-	k.mu.Unlock()
 	lease := options.LongestLease()
 	if epoch == firstEpoch {
 		lease = options.OwnLease()
 	}
-	claim := journaler.Claim{Epoch: epoch, Lease: lease, Authority: options.LongestAuthority()}
-	if k.claimant.Claim(ctx, claim, reason) {
-		k.mu.Lock()
-		k.attemptedEpoch, k.attemptedAt = epoch, k.now()
-		k.mu.Unlock()
-	}
-	k.claimsWaker.Wake()
+	return journaler.Claim{Epoch: epoch, Lease: lease, Authority: options.LongestAuthority()}
 }
 
 // applyClaim starts a takeover if the claim in the log is a new one of this host, and stops
@@ -113,16 +88,6 @@
 	}
 }
 
-// informFormer tells the holder of a former claim of the one in force, unless it released its claim or the
-// claim in force is its own. The caller has the lock.
-func (k *Coordinator) informFormer(former journaler.Claim) {
-	host, found := k.state.Hosts[former.Host]
-	if !found || former.Released || former.Host == k.options.Name || former.Host == k.state.Claim.Host {
-		return
-	}
-	go k.prober.Inform(context.Background(), host, k.state.Claim.Epoch)
-}
-
 // stepDown stops holding the cell if a peer has read a later claim, which this host may be unable to read.
 func (k *Coordinator) stepDown(peer string, epoch int64) {
 	k.mu.Lock()
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -71,7 +71,7 @@
 	k.mu.Lock()
 	k.state.RemoveUnlistedProgress(list.Keys(), list.Next, k.now().Add(-minRemovalAge))
 	// The list omits records that newer ones replaced.
-	k.former.recordRead(k.now())
+	k.former.RecordRead(k.now())
 	k.mu.Unlock()
 	k.applyClaims(list)
 }
@@ -101,9 +101,9 @@
 	for _, e := range k.reads.RecordClaims(now, batch) {
 		k.applyRecord(now, e)
 		if e.Offset == k.state.ClaimOffset {
-			k.former.recordClaim(k.state.Claim.Epoch)
+			k.former.RecordClaim(k.state.Claim.Epoch)
 		}
-		k.former.recordRead(now)
+		k.former.RecordRead(now)
 	}
 	if k.state.HolderOffset > k.holderOffset || isFirst {
 		k.holderOffset, k.heartbeatAt = k.state.HolderOffset, now
@@ -117,7 +117,7 @@
 	former := k.state.Claim
 	changed, err := k.state.Apply(e.Record, e.Offset)
 	if k.state.Claim.Epoch > former.Epoch {
-		k.informFormer(former)
+		k.prober.InformFormer(k.state, former)
 	}
 	if err != nil {
 		k.options.Logger.Warn("log: A record could not be applied and is ignored.",
--- a/internal/entry/coordinator/former_test.go
+++ b/internal/entry/coordinator/former_test.go
@@ -69,23 +69,23 @@
 		c.apply(c.host.applyClaims, c.batch())
 		c.apply(c.host.applyClaims, c.batch(c.claim(2, "self"), c.heartbeat(2)))
 		c.apply(c.host.applyClaims, c.batch(c.heartbeat(2)))
-		require.Equal(t, seenAt, c.host.former.seenBefore(2))
-		require.Zero(t, c.host.former.seenBefore(1))
-		require.Zero(t, c.host.former.seenBefore(3))
+		require.Equal(t, seenAt, c.host.former.SeenBefore(2))
+		require.Zero(t, c.host.former.SeenBefore(1))
+		require.Zero(t, c.host.former.SeenBefore(3))
 	})
 	t.Run("a record in the batch of the claim has its time", func(t *testing.T) {
 		c := newClaimsTest(t)
 		c.apply(c.host.resetClaims, c.batch(c.claim(1, "other")))
 		c.apply(c.host.applyClaims, c.batch(c.heartbeat(1)))
 		seenAt := c.apply(c.host.applyClaims, c.batch(c.heartbeat(1), c.claim(2, "self"), c.heartbeat(2)))
-		require.Equal(t, seenAt, c.host.former.seenBefore(2))
+		require.Equal(t, seenAt, c.host.former.SeenBefore(2))
 	})
 	t.Run("records of this host under an earlier claim count", func(t *testing.T) {
 		c := newClaimsTest(t)
 		c.apply(c.host.resetClaims, c.batch(c.claim(1, "self")))
 		seenAt := c.apply(c.host.applyClaims, c.batch(c.heartbeat(1)))
 		c.apply(c.host.applyClaims, c.batch(c.claim(2, "self")))
-		require.Equal(t, seenAt, c.host.former.seenBefore(2))
+		require.Equal(t, seenAt, c.host.former.SeenBefore(2))
 	})
 	t.Run("a claim that replaced records in a list has the time of the list", func(t *testing.T) {
 		c := newClaimsTest(t)
@@ -94,7 +94,7 @@
 		list := c.batch(c.claim(2, "self"), c.heartbeat(2))
 		c.host.applyRoutes(list.Entries)
 		seenAt := c.apply(c.host.resetClaims, list)
-		require.Equal(t, seenAt, c.host.former.seenBefore(2))
+		require.Equal(t, seenAt, c.host.former.SeenBefore(2))
 	})
 	t.Run("a claim that is read twice keeps its time", func(t *testing.T) {
 		c := newClaimsTest(t)
@@ -102,7 +102,7 @@
 		batch := c.batch(c.claim(2, "self"))
 		c.apply(c.host.applyClaims, batch)
 		c.apply(c.host.resetClaims, batch)
-		require.Equal(t, seenAt, c.host.former.seenBefore(2))
+		require.Equal(t, seenAt, c.host.former.SeenBefore(2))
 	})
 }
 
--- a/internal/entry/coordinator/hold.go
+++ b/internal/entry/coordinator/hold.go
@@ -18,7 +18,7 @@
 func (k *Coordinator) startHolding(now time.Time, claim journaler.Claim) {
 	options := k.dispatcherOptions()
 	options.Epoch, options.Host, options.Report = claim.Epoch, k.options.Name, k.reportDecision
-	options.ClaimSentAt, options.FormerSeenAt = k.claimant.SentAt(claim.Epoch), k.former.seenBefore(claim.Epoch)
+	options.ClaimSentAt, options.FormerSeenAt = k.claimant.SentAt(claim.Epoch), k.former.SeenBefore(claim.Epoch)
 	k.dispatcher = dispatcher.New(options, k.state, now)
 	k.setOperatorEntries(now)
 	k.dispatcher.SetAdviceHosts(len(k.liveHosts()))
@@ -27,17 +27,15 @@
 		Epoch: claim.Epoch, Store: k.options.Store, Appender: k.repeater, Workers: k.options.Workers, Machines: k.options.Machines, Clock: k.options.Clock,
 		Logger: k.options.Logger, Update: k.updateDispatcher, OnFenced: k.stopHolding, OnAppended: k.applyAppended, StoreReplies: k.storeReplies, RequestAdvice: k.distributor.Advise,
 	})
-	fields := []zap.Field{
-		zap.Int64("epoch", claim.Epoch), zap.Int("jobs", len(k.state.Jobs)), zap.Int("workers", k.catalog.Size()),
-		zap.Duration("longest_lease", options.LongestLease()),
+	age := func(name string, at time.Time) zap.Field {
+		if at.IsZero() {
+			return zap.Skip()
+		}
+		return zap.Duration(name, now.Sub(at))
 	}
-	if !options.ClaimSentAt.IsZero() {
-		fields = append(fields, zap.Duration("claim_age", now.Sub(options.ClaimSentAt)))
-	}
-	if !options.FormerSeenAt.IsZero() {
-		fields = append(fields, zap.Duration("former_record_age", now.Sub(options.FormerSeenAt)))
-	}
-	k.options.Logger.Info("claim: This host holds the cell.", fields...)
+	k.options.Logger.Info("claim: This host holds the cell.", zap.Int64("epoch", claim.Epoch), zap.Int("jobs", len(k.state.Jobs)),
+		zap.Int("workers", k.catalog.Size()), zap.Duration("longest_lease", options.LongestLease()),
+		age("claim_age", options.ClaimSentAt), age("former_record_age", options.FormerSeenAt))
 	k.holder.Run(context.Background())
 }
 
@@ -46,10 +44,7 @@
 func (k *Coordinator) dispatcherOptions() dispatcher.Options {
 	options := k.options.Dispatcher
 	options.FormerLease, options.FormerAuthority = k.state.Claim.Lease, k.state.Claim.Authority
-	options.Observe = func(name string, duration time.Duration) {
-		k.options.Scope.Histogram(name, measurer.Buckets).RecordDuration(duration)
-	}
-	options.Count = func(name string) { k.options.Scope.Counter(name).Inc(1) }
+	options.Observe, options.Count = measurer.Recorders(k.options.Scope)
 	return options
 }
 
--- a/internal/entry/coordinator/submit.go
+++ b/internal/entry/coordinator/submit.go
@@ -10,7 +10,6 @@
 	"lentilrock.example/internal/entry/resolver"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/describer"
-	"lentilrock.example/internal/fleet/journaler"
 )
 
 // maxViewAge is how old the last read of the jobs may be for this host to report the state of a job that it
@@ -29,44 +28,18 @@
 // storer.ErrRefused or *accountant.FullError, after which the job never runs, storer.ErrOutcomeUnknown,
 // ErrNotReady or ErrTooLarge.
 func (k *Coordinator) Submit(ctx context.Context, job *describer.Job) error {
-	if k.jobView(job.ID).IsKnown {
-		return nil
-	}
-	job.Received = k.now()
-	record, err := journaler.NewJob(job)
-	if err != nil {
-		return errors.Errorf("submit job %s: %w", job.ID, err)
-	}
-	if err := k.admit(job); err != nil {
-		return errors.Errorf("submit job %s: %w", job.ID, err)
-	}
-	return k.router.Persist(ctx, record)
+	return k.clerk.Submit(ctx, job)
 }
 
 // Cancel persists the cancellation of a job; it has no effect on a job that has ended. Errors
 // wrap ErrJobNotFound or those of Submit.
 func (k *Coordinator) Cancel(ctx context.Context, id describer.JobID) error {
-	state, err := k.Status(ctx, id)
-	if err != nil {
-		return err
-	}
-	if state.IsFinal() {
-		return nil
-	}
-	record, err := journaler.NewCancel(id, journaler.Cancel{At: k.now()})
-	if err != nil {
-		return errors.Errorf("cancel job %s: %w", id, err)
-	}
-	return k.router.Persist(ctx, record)
+	return k.clerk.Cancel(ctx, id)
 }
 
 // Status returns a job's state. Errors wrap ErrJobNotFound, ErrNotReady or storer.ErrOutcomeUnknown.
 func (k *Coordinator) Status(ctx context.Context, id describer.JobID) (describer.JobState, error) {
-	state, err := k.resolver.Status(ctx, id)
-	if errors.Is(err, storer.ErrOutcomeUnknown) && !k.hasReadJobs() {
-		return state, errors.Errorf("status of job %s: %w", id, ErrNotReady)
-	}
-	return state, err
+	return k.clerk.Status(ctx, id)
 }
 
 // hasReadJobs reports whether this host has read the configuration and all jobs.
--- a/internal/entry/measurer/measurer.go
+++ b/internal/entry/measurer/measurer.go
@@ -5,6 +5,7 @@
 //
 //	store := measurer.NewStore(client, scope, clock)
 //	workers := measurer.NewWorkers(client, scope, clock)
+//	options.Observe, options.Count = measurer.Recorders(scope)
 package measurer
 
 import (
@@ -51,6 +52,12 @@
 	outcomeUnknown = "open"
 )
 
+// Recorders returns functions that record a duration in a histogram and count an event, under a name of the scope.
+func Recorders(scope tally.Scope) (observe func(name string, duration time.Duration), count func(name string)) {
+	observe = func(name string, duration time.Duration) { scope.Histogram(name, Buckets).RecordDuration(duration) }
+	return observe, func(name string) { scope.Counter(name).Inc(1) }
+}
+
 // Store records metrics of Append and Read. Other calls pass through.
 type Store struct {
 	storer.Store
--- a/internal/entry/measurer/measurer_test.go
+++ b/internal/entry/measurer/measurer_test.go
@@ -60,3 +60,15 @@
 	require.Equal(t, int64(1), counters["orders+order=start,verdict=accepted"])
 	require.Equal(t, int64(1), counters["orders+order=stop,verdict=unknown"])
 }
+
+// TestRecorders guards against durations and events that are lost or recorded under another name.
+func TestRecorders(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	observe, count := measurer.Recorders(scope)
+	observe("wait", 3*time.Millisecond)
+	count("moves")
+	count("moves")
+	snapshot := scope.Snapshot()
+	require.Equal(t, int64(2), snapshot.Counters()["moves+"].Value())
+	require.Equal(t, int64(1), snapshot.Histograms()["wait+"].Durations()[5*time.Millisecond])
+}
--- a/internal/entry/prober/prober.go
+++ b/internal/entry/prober/prober.go
@@ -7,12 +7,12 @@
 // # Usage
 //
 //	p := prober.New(prober.Options{
-//		Messenger: peers, Clock: clock, Holder: holder, HostCount: countHosts, HeldEpoch: heldEpoch,
+//		Self: name, Messenger: peers, Clock: clock, Holder: holder, HostCount: countHosts, HeldEpoch: heldEpoch,
 //		OnProbed: stepDown, OnProbeFailed: readClaims,
 //	})
 //	go p.Run(ctx)
 //	view := p.View()
-//	p.Inform(ctx, former, epoch)
+//	p.InformFormer(state, formerClaim)
 package prober
 
 import (
@@ -55,6 +55,8 @@
 
 // Options configure a Prober.
 type Options struct {
+	// Self is this host's name.
+	Self string
 	// Messenger calls the peers; nil means that there are none.
 	Messenger *messenger.Messenger
 	Clock     clockwork.Clock
@@ -140,6 +142,17 @@
 	}
 }
 
+// InformFormer tells the holder of a former claim of the one in force, without waiting for it, unless it
+// released its claim, is this host, or has the claim in
+// force itself. It has read the state when it returns.
+func (p *Prober) InformFormer(state *journaler.State, former journaler.Claim) {
+	host, found := state.Hosts[former.Host]
+	if !found || former.Released || former.Host == p.options.Self || former.Host == state.Claim.Host {
+		return
+	}
+	go p.Inform(context.Background(), host, state.Claim.Epoch)
+}
+
 // Inform tells a former holder of a claim with a later epoch, as it may not be able to read the log. It
 // returns once the host has replied, or after a few attempts.
 func (p *Prober) Inform(ctx context.Context, former journaler.Host, epoch int64) {
--- a/internal/entry/prober/prober_test.go
+++ b/internal/entry/prober/prober_test.go
@@ -90,6 +90,39 @@
 	require.Empty(t, heard, "the host replied to the first call")
 }
 
+// TestInformFormerSparesOthers guards against calls to a host that released its claim, that has claimed again or
+// that is this host, and against a former holder that is not called.
+func TestInformFormerSparesOthers(t *testing.T) {
+	own, peer, host := connect(t)
+	heard := make(chan int64, 1)
+	prober.New(prober.Options{
+		Messenger: own, HeldEpoch: func() int64 { return 4 }, OnProbed: func(_ string, epoch int64) { heard <- epoch },
+	})
+	p := prober.New(prober.Options{Self: "self", Messenger: peer, Clock: clockwork.NewRealClock(), HeldEpoch: func() int64 { return 0 }})
+	for i, test := range []struct {
+		former   journaler.Claim
+		claimant string
+		isCalled bool
+	}{
+		{journaler.Claim{Host: "host", Released: true}, "other", false},
+		{journaler.Claim{Host: "self"}, "other", false},
+		{journaler.Claim{Host: "host"}, "host", false},
+		{journaler.Claim{Host: "gone"}, "other", false},
+		{journaler.Claim{Host: "host"}, "other", true},
+	} {
+		state := journaler.New()
+		for _, name := range []string{"host", "self"} {
+			state.Hosts[name] = host
+		}
+		state.Claim = journaler.Claim{Epoch: int64(i), Host: test.claimant}
+		p.InformFormer(state, test.former)
+		if test.isCalled {
+			require.Equal(t, int64(i), <-heard)
+		}
+	}
+	require.Never(t, func() bool { return len(heard) > 0 }, 100*time.Millisecond, 10*time.Millisecond, "another host was called")
+}
+
 // TestProbesOfOtherVersions guards against hosts that do not reply to each other's probes while a cell is
 // updated: former versions send and expect a request without an epoch.
 func TestProbesOfOtherVersions(t *testing.T) {
--- a/internal/entry/coordinator/former.go
+++ b/internal/entry/tracker/former.go
@@ -1,10 +1,11 @@
-package coordinator
+package tracker
 
 import "time"
 
-// formerRecords tells when the last record of former holders before a claim was read. All records of the
+// FormerRecords tells when the last record of former holders before a claim was read. All records of the
 // claims are of holders, those of this host under an earlier claim included. The zero value has none.
-type formerRecords struct {
+// It is not safe for concurrent use.
+type FormerRecords struct {
 	// readAt is when the newest record of the claims was read.
 	readAt time.Time
 	// epoch is that of the newest claim, and seenAt when the last record before it was read.
@@ -12,19 +13,19 @@
 	seenAt time.Time
 }
 
-// recordRead records that a record was read.
-func (f *formerRecords) recordRead(now time.Time) { f.readAt = now }
+// RecordRead records that a record was read.
+func (f *FormerRecords) RecordRead(now time.Time) { f.readAt = now }
 
-// recordClaim records that a claim follows the records that were read so far. A repeat of the claim, or its
+// RecordClaim records that a claim follows the records that were read so far. A repeat of the claim, or its
 // release, changes nothing.
-func (f *formerRecords) recordClaim(epoch int64) {
+func (f *FormerRecords) RecordClaim(epoch int64) {
 	if epoch > f.epoch {
 		f.epoch, f.seenAt = epoch, f.readAt
 	}
 }
 
-// seenBefore returns when the last record before the claim of an epoch was read; zero if it is unknown.
-func (f *formerRecords) seenBefore(epoch int64) time.Time {
+// SeenBefore returns when the last record before the claim of an epoch was read; zero if it is unknown.
+func (f *FormerRecords) SeenBefore(epoch int64) time.Time {
 	if f.epoch != epoch {
 		return time.Time{}
 	}
--- a/internal/entry/tracker/tracker.go
+++ b/internal/entry/tracker/tracker.go
@@ -1,5 +1,6 @@
 // Package tracker tracks what an entry host has read from the store and when, which tells whether the host
-// reaches the store and which records of the jobs it may not have read yet.
+// reaches the store, which records of the jobs it may not have read yet, and when it last read one of a former
+// holder (a host whose claim made it the leader).
 //
 // # Usage
 //
@@ -10,6 +11,10 @@
 //	if t.IsStoreDown(now) {
 //		// refuse what would have to be persisted
 //	}
+//	var former tracker.FormerRecords
+//	former.RecordRead(now)
+//	former.RecordClaim(epoch)
+//	seenAt := former.SeenBefore(epoch)
 package tracker
 
 import (
