Renew leases at once when appends succeed again

After an outage of the store of 9 s in which replies are lost, the next append confirms the claim 0.1 s later, but a poll that was waiting returned up to 0.7 s later, when the lease that the holder could grant last had ended: all runs of that worker lapsed. The holder now polls its workers at once. TestUnconfirmedHolderEndsItsLeases plays the outage at 80 moments; without this some lapse.

--- a/internal/entry/holder/holder_test.go
+++ b/internal/entry/holder/holder_test.go
@@ -216,23 +216,29 @@
 // TestUnconfirmedHolderEndsItsLeases guards against a holder without the store that acts for longer than its successor
 // waits, and against one whose runs lapse in an outage of 9 s.
 func TestUnconfirmedHolderEndsItsLeases(t *testing.T) {
-	for outage, isLapsed := range map[time.Duration]bool{9 * time.Second: false, confirmer.Authority + 500*time.Millisecond: true} {
-		synctest.Test(t, func(t *testing.T) {
-			h := newHost(t)
-			time.Sleep(4 * time.Second)
-			h.isFailing.Store(true)
-			time.Sleep(outage)
-			for _, w := range h.fleet.Workers() {
-				require.Equal(t, isLapsed, len(h.fleet.Running(w.ID)) == 0, "worker %s after %v", w.ID, outage)
-			}
-			h.isFailing.Store(false)
-			time.Sleep(2 * time.Second)
-			for index := range 2 {
-				task := describer.TaskRef{Job: job, Index: index}.String()
-				require.Equal(t, isLapsed, h.fleet.Starts(task) == 2, "task %s was started %d times", task, h.fleet.Starts(task))
-			}
+	play := func(t *testing.T, delay, outage time.Duration, isLapsed bool) {
+		h := newHost(t)
+		time.Sleep(4*time.Second + delay)
+		h.losesReplies.Store(true)
+		time.Sleep(outage)
+		for _, w := range h.fleet.Workers() {
+			require.Equal(t, isLapsed, len(h.fleet.Running(w.ID)) == 0, "worker %s after %v", w.ID, outage)
+		}
+		h.losesReplies.Store(false)
+		time.Sleep(2 * time.Second)
+		for index := range 2 {
+			task := describer.TaskRef{Job: job, Index: index}.String()
+			require.Equal(t, isLapsed, h.fleet.Starts(task) == 2, "task %s was started %d times", task, h.fleet.Starts(task))
+		}
+	}
+	for delay := time.Duration(0); delay < 2800*time.Millisecond; delay += 35 * time.Millisecond {
+		t.Run(fmt.Sprint("outage of 9 s after ", delay), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { play(t, delay, 9*time.Second, false) })
 		})
 	}
+	t.Run("longer outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { play(t, 0, confirmer.Authority+500*time.Millisecond, true) })
+	})
 }
 
 // TestRepeatedAppendConfirmsItsFirstSending guards against a holder that counts the repeat of an append without a reply as
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -212,6 +212,7 @@
 		message := "Nothing is decided until an append under the claim succeeds."
 		if mayDecide {
 			message = "An append under the claim has succeeded again."
+			d.watcher.RenewLeases()
 		}
 		r.Report(message, "epoch", r.Options.Epoch, "last_append_sent", r.Claim.ConfirmedAt())
 	}
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -128,6 +128,15 @@
 }
 
 // Tick resolves the runs of workers that have left or whose lease has expired, repeats stops
+// RenewLeases polls the workers that reply at once, as their leases could not be renewed for a while.
+func (wt *Watcher) RenewLeases() {
+	for _, w := range wt.Ordered {
+		if w.IsSynced && !w.HasFailedPoll {
+			wt.reconciler.PollNow(w)
+		}
+	}
+}
+
 // and removes workers that are no longer needed.
 func (wt *Watcher) Tick() {
 	for _, w := range wt.Ordered {
