Persist all runs on unresponsive workers, not only the newest one

A run that is being stopped in a worker's next incarnation, as its start got no reply, was in no record of progress. The case of TestProgressWithoutBound builds its runs as the product does now, with AddRun.

--- a/internal/fleet/tasker/progress.go
+++ b/internal/fleet/tasker/progress.go
@@ -62,8 +62,10 @@
 			continue
 		}
 		addFailures(&p, t.Index, t.failures)
-		if t.Run != nil && isSilent(t.Run.Worker) {
-			p.Unresponsive = append(p.Unresponsive, journaler.UnresponsiveRun{Worker: t.Run.Worker, Index: t.Index, Run: t.Run.Number})
+		for _, r := range t.runs {
+			if isSilent(r.Worker) {
+				p.Unresponsive = append(p.Unresponsive, journaler.UnresponsiveRun{Worker: r.Worker, Index: t.Index, Run: r.Number})
+			}
 		}
 	}
 	return p
--- a/internal/fleet/tasker/progress_test.go
+++ b/internal/fleet/tasker/progress_test.go
@@ -88,6 +88,7 @@
 		for i := range count {
 			task := j.Task(describer.TaskRef{Index: i})
 			task.Run = &tasker.Run{Task: task, Job: j, Number: 300, Worker: "i-0123456789abcdef"}
+			j.AddRun(task.Run)
 			if i < 100 {
 				task.Fail(257, "w-1")
 			}
@@ -97,6 +98,12 @@
 		require.True(t, progress.HasUnlistedRuns)
 		require.Len(t, progress.Steps[0].Failed, 100)
 	})
+	t.Run("a run that is being stopped on an unresponsive worker is listed, as its start may arrive late", func(t *testing.T) {
+		j := tasker.NewJob(&journaler.Entry{Job: &job})
+		j.AddRun(&tasker.Run{Task: j.Task(describer.TaskRef{}), Job: j, Number: 300, Worker: "w-1", Stopping: true})
+		progress, _ := persist(t, j, true)
+		require.Equal(t, []journaler.UnresponsiveRun{{Worker: "w-1", Run: 300}}, progress.Steps[0].Unresponsive)
+	})
 	t.Run("failed runs that do not fit are left out, and no task that is done", func(t *testing.T) {
 		j := tasker.NewJob(&journaler.Entry{Job: &job})
 		for i := range count {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -135,7 +135,7 @@
 mutant "fence: an unlisted run is waited for" internal/fleet/placer/placer.go \
   '|| hasUnlistedRuns &&' '|| false && hasUnlistedRuns &&' $dispatcher 'TestTakeover/a_new_holder_waits_for_a_worker_that_was'
 mutant "fence: runs on unresponsive workers are persisted" internal/fleet/tasker/progress.go \
-  't.Run != nil && isSilent(t.Run.Worker)' 'false' $dispatcher 'TestTakeover/a_new_holder_expects'
+  'if isSilent(r.Worker) {' 'if false {' $dispatcher 'TestTakeover/a_new_holder_expects'
 mutant "fence: a start without a reply is stopped before a second start" internal/fleet/reconciler/order.go \
   '			w.HasUnconfirmedStart = true
 			w.RecordLostStart(r, now)
