Hold the tasks of replaced workers and machines in upkeep until an append

Their runs are over, but a later holder may have acknowledged their results before. The end of the lease is set to now, not to the zero time, which would count as evidence that is older than any append.

--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -177,9 +177,10 @@
 			continue
 		}
 		for _, r := range worker.Runs {
+			e.Hold(r.Task)
 			e.reconciler.Resolve(r)
 		}
-		worker.Lease.ExpiresAt = time.Time{}
+		worker.Lease.ExpiresAt = e.Now
 	}
 }
 
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -117,7 +117,7 @@
 	if len(w.Runs) > 0 {
 		wt.Report("Another worker has taken over the address of a worker, whose runs are lost.", "worker", w.Info.ID, "runs_lost", len(w.Runs))
 	}
-	w.HasFailedPoll, w.Lease.ExpiresAt = true, time.Time{}
+	w.HasFailedPoll, w.Lease.ExpiresAt = true, wt.Now
 	for _, r := range w.Runs {
 		wt.Hold(r.Task)
 		wt.reconciler.Resolve(r)
