Allow for restarts that a former holder did not know of

Three ways to run a task twice (TWICE), found by the audit for the incident: - The first reply to a successor shortened the lease that it had allowed for a worker that restarted unnoticed, to that of the former holder. Each has a case in TestTakeover or TestWorkers that fails without its rule (mutants).

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -235,6 +235,30 @@
 		require.NotEmpty(t, c.starts)
 		c.requireInvariants()
 	})
+	t.Run("a worker that restarted unnoticed keeps its longest lease when it replies for the first time", func(t *testing.T) {
+		c := newCell(t, 2)
+		c.fleet.MaxLease = chaosMaxLease
+		c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
+		c.claim()
+		c.run(20 * time.Second)
+		step := tasks(1)
+		step.LongRunning = true
+		c.submit("a", describer.Queue{}, step)
+		c.save()
+		c.d.Tick(c.clock.Now())
+		for _, order := range c.d.TakeOrders() {
+			start, isStart := order.(orderer.Start)
+			require.True(t, isStart)
+			c.fleet.Restart(start.Worker.ID, 2)
+			require.Equal(t, orderer.Accepted, c.fleet.Start(t.Context(), start))
+			c.claim()
+			c.run(2 * tickInterval)
+			c.fleet.Update(start.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
+		}
+		c.run(7 * time.Second)
+		require.Equal(t, 2, c.fleet.Starts("a.0.0.0"))
+		c.requireInvariants()
+	})
 	t.Run("a new holder expects only the persisted runs on a worker that was unresponsive before", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.submit("a", describer.Queue{}, tasks(16))
@@ -503,6 +527,33 @@
 			})
 		}
 	})
+	t.Run("a restarted worker, which may have replied to a later holder before, gets tasks only after an append", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.run(4 * tickInterval)
+		c.submit("a", describer.Queue{}, tasks(1))
+		c.save()
+		c.isStoreDown = true
+		c.fleet.Restart("w-0", 2)
+		c.run(time.Second)
+		require.Zero(t, c.fleet.Starts("a.0.0.0"))
+		c.isStoreDown = false
+		c.run(time.Second)
+		require.Equal(t, 1, c.fleet.Starts("a.0.0.0"))
+	})
+	t.Run("a worker is not forgotten while a start without a reply may reach its next incarnation", func(t *testing.T) {
+		c := newCell(t, 1)
+		c.run(2 * tickInterval)
+		c.fleet.Update("w-0", func(w *fencer.Worker) { w.LosesReplies = true })
+		c.submit("a", describer.Queue{}, tasks(1))
+		c.save()
+		c.decide()
+		c.fleet.Update("w-0", func(w *fencer.Worker) { w.HasExited = true })
+		c.listed = []describer.Worker{}
+		c.run(11 * time.Second)
+		require.Contains(t, c.d.Registrar().Workers, "w-0")
+		c.run(2 * time.Second)
+		require.NotContains(t, c.d.Registrar().Workers, "w-0")
+	})
 	t.Run("tasks of an unresponsive worker start elsewhere once its lease has expired", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.run(6 * time.Second)
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -113,6 +113,8 @@
 	Incarnation int64
 	// FormerIncarnation is the incarnation that the former holder knew; 0 if it knew none.
 	FormerIncarnation int64
+	// HadLongestLease reports that the worker had the longest lease when the former holder persisted the roster.
+	HadLongestLease bool
 	// longestLeaseUntil is until when the worker may have the longest lease, as it has restarted; zero if it can't.
 	longestLeaseUntil time.Time
 	// IncarnationAt is when the first reply of the incarnation arrived.
@@ -276,6 +278,19 @@
 	return !w.IsSynced && w.FormerIncarnation != 0 && incarnation != 0 && incarnation != w.FormerIncarnation
 }
 
+// MayHaveLongestLease reports whether the worker, which replies for the first time, may have the longest lease: it has
+// begun this incarnation after the former holder had persisted the roster, or shortly before.
+func (w *Worker) MayHaveLongestLease(incarnation int64) bool {
+	return w.HadLongestLease || w.FormerIncarnation != 0 && w.FormerIncarnation != incarnation
+}
+
+// MayGetLateCalls reports whether calls without a reply may still be carried out that matter to a later incarnation:
+// starts, and polls that acknowledge results.
+func (w *Worker) MayGetLateCalls(now time.Time) bool {
+	isAwaited := !w.lostAcknowledgementAt.IsZero() && now.Sub(w.lostAcknowledgementAt) < maxLateness
+	return isAwaited || now.Before(w.mayDiscardUntil) || len(w.LostStarts(now)) > 0
+}
+
 // BeginLongestLease records until when the worker may have the longest lease.
 func (w *Worker) BeginLongestLease(until time.Time) { w.longestLeaseUntil = until }
 
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -85,7 +85,11 @@
 	if !w.IsSynced {
 		// The worker has now seen this holder's fencing token and refuses former holders. Until
 		// now one of them could have renewed its lease.
-		w.Lease.ExpiresAt = wt.Now.Add(leaser.ExpiryOf(wt.Options.FormerLease))
+		former := wt.Options.FormerLease
+		if w.MayHaveLongestLease(inventory.Incarnation) {
+			former = wt.Options.MaxLease
+		}
+		w.Lease.ExpiresAt = wt.Now.Add(leaser.ExpiryOf(former))
 	}
 	w.HasFailedPoll, w.IsSynced, w.HasUnconfirmedStart, w.RepliedAt = false, true, false, wt.Now
 	if poll.SentAt.After(w.AnsweredPollAt) {
@@ -135,6 +139,9 @@
 		// the longest lease that it accepts.
 		w.Lease.Cover(wt.Now, wt.Options.MaxLease)
 		w.BeginLongestLease(wt.Now.Add(leaser.ExpiryOf(wt.Options.MaxLease)))
+		// The new incarnation has not seen the fencing token of a later holder that had polled the former one, so it
+		// gets tasks only once a roster has been appended since.
+		w.IsEnrolled, w.RosterBatch = false, 0
 		wt.Persister.MarkRosterChanged()
 	}
 	w.BeginIncarnation(incarnation, wt.Now)
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -89,7 +89,8 @@
 			continue
 		}
 		w := wt.add(describer.Worker{ID: member.ID, Address: member.Address})
-		if w.FormerIncarnation = member.Incarnation; member.HasLongestLease {
+		w.FormerIncarnation, w.HadLongestLease = member.Incarnation, member.HasLongestLease
+		if member.HasLongestLease {
 			wt.expectLongestLease(w)
 		}
 		w.IsUnresponsive, w.IsListedUnresponsive, w.IsEnrolled = member.IsUnresponsive, member.IsUnresponsive, !member.IsUnresponsive
@@ -114,10 +115,10 @@
 	w.Lease.Cover(wt.FormerSeenAt.Add(wt.Options.FormerAuthority), wt.Options.MaxLease)
 }
 
-// removeExpired removes the workers that are not listed, have no runs and no valid lease.
+// removeExpired removes the workers that are not listed, have no runs and no valid lease, and that no late call can reach.
 func (wt *Watcher) removeExpired() {
 	wt.Ordered = slices.DeleteFunc(wt.Ordered, func(w *monitor.Worker) bool {
-		if w.IsListed || len(w.Runs) > 0 || !w.HasExpired(wt.Now, wt.Claim.ConfirmedAt()) {
+		if w.IsListed || len(w.Runs) > 0 || !w.HasExpired(wt.Now, wt.Claim.ConfirmedAt()) || w.MayGetLateCalls(wt.Now) {
 			return false
 		}
 		wt.Report("A worker is no longer listed and its lease has expired. It is removed.", "worker", w.Info.ID)
@@ -127,7 +128,6 @@
 	})
 }
 
-// Tick resolves the runs of workers that have left or whose lease has expired, repeats stops
 // RenewLeases polls the workers that reply at once, as their leases could not be renewed for a while.
 func (wt *Watcher) RenewLeases() {
 	for _, w := range wt.Ordered {
@@ -137,6 +137,7 @@
 	}
 }
 
+// Tick resolves the runs of workers that have left or whose lease has expired, repeats stops
 // and removes workers that are no longer needed.
 func (wt *Watcher) Tick() {
 	for _, w := range wt.Ordered {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -86,6 +86,15 @@
 	r.held' 'r.held' $dispatcher 'TestWorkers/a_task_whose_run_was_lost'
 mutant "fence: a worker has left only after a confirmation" internal/fleet/monitor/monitor.go \
   ' && w.RefusedAt.Before(confirmedAt)' '' $dispatcher 'TestWorkers/a_task_whose_run_was_lost'
+mutant "fence: a restarted worker gets tasks only after an append" internal/fleet/watcher/poll.go \
+  'w.IsEnrolled, w.RosterBatch = false, 0
+		wt' 'wt' $dispatcher 'TestWorkers/a_restarted_worker,_which'
+mutant "fence: a worker that restarted unnoticed keeps its longest lease" internal/fleet/watcher/poll.go \
+  'former = wt.Options.MaxLease' '_ = wt' $dispatcher 'TestTakeover/a_worker_that_restarted_unnoticed'
+mutant "fence: a worker is known while late calls may reach it" internal/fleet/watcher/watcher.go \
+  ' || w.MayGetLateCalls(wt.Now)' '' $dispatcher 'TestWorkers/a_worker_is_not_forgotten'
+mutant "fence: leases are renewed at once after an outage" $dispatcher/dispatcher.go \
+  'd.watcher.RenewLeases()' '' internal/entry/holder 'TestUnconfirmedHolderEndsItsLeases'
 mutant "fence: a repeat of an append confirms the claim as of its first sending" internal/entry/holder/holder.go \
   '; !mayHaveTakenEffect {' '; true {' internal/entry/holder 'TestRepeatedAppendConfirms'
 mutant "fence: a holder that was paused orders no upkeep before its claim is confirmed" internal/entry/holder/machines.go \
