Log which holder decides, and on whose silence

The incident's logs could not tell whether one holder or two had decided. Lines of the dispatcher name the epoch; a lost run tells when its worker last replied, when its lease ended and when the holder's last append was sent; appends under the claim that fail and succeed again, and workers that reply late after a claim, are logged.

--- a/internal/entry/coordinator/hold.go
+++ b/internal/entry/coordinator/hold.go
@@ -17,7 +17,10 @@
 // the lock.
 func (k *Coordinator) startHolding(now time.Time, claim journaler.Claim) {
 	options := k.dispatcherOptions()
-	options.Epoch, options.Host, options.Report = claim.Epoch, k.options.Name, k.reportDecision
+	options.Epoch, options.Host = claim.Epoch, k.options.Name
+	options.Report = func(message string, fields ...any) {
+		k.reportDecision(message, append(fields, "epoch", claim.Epoch)...)
+	}
 	options.ClaimSentAt, options.FormerSeenAt = k.claimant.SentAt(claim.Epoch), k.former.SeenBefore(claim.Epoch)
 	k.dispatcher = dispatcher.New(options, k.state, now)
 	k.setOperatorEntries(now)
--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -178,9 +178,13 @@
 	now := h.options.Clock.Now()
 	switch {
 	case err == nil:
+		if !h.failingSince.IsZero() {
+			h.options.Logger.Info("claim: Appends under the claim succeed again.", zap.Int64("epoch", h.options.Epoch), zap.Duration("failed_for", now.Sub(h.failingSince)))
+		}
 		h.appendedAt, h.failingSince = now, time.Time{}
 	case h.failingSince.IsZero():
 		h.failingSince = now
+		h.options.Logger.Warn("claim: Appends under the claim fail. They are repeated.", zap.Int64("epoch", h.options.Epoch), zap.String("error", err.Error()))
 	}
 }
 
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -214,7 +214,7 @@
 			message = "An append under the claim has succeeded again."
 			d.watcher.RenewLeases()
 		}
-		r.Report(message, "epoch", r.Options.Epoch, "last_append_sent", r.Claim.ConfirmedAt())
+		r.Report(message, "last_append_sent", r.Claim.ConfirmedAt())
 	}
 	d.isPassive = !mayDecide
 	return mayDecide
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -8,6 +8,10 @@
 	"lentilrock.example/internal/fleet/orderer"
 )
 
+// lateFirstReply is how long after the claim the first reply of a worker is logged: until then it had seen no fencing
+// token of this holder, and former holders could reach it.
+const lateFirstReply = time.Second
+
 // NextPoll returns the next poll of a worker's inventory, or false if the worker was removed.
 func (wt *Watcher) NextPoll(now time.Time, id string) (orderer.Poll, bool) {
 	w, found := wt.Workers[id]
@@ -85,6 +89,10 @@
 	if !w.IsSynced {
 		// The worker has now seen this holder's fencing token and refuses former holders. Until
 		// now one of them could have renewed its lease.
+		if sinceClaim := wt.Now.Sub(wt.ClaimedAt); sinceClaim > lateFirstReply {
+			wt.Report("A worker replies to this holder for the first time.", "worker", w.Info.ID, "since_claim", sinceClaim,
+				"running", len(inventory.Running), "results", len(inventory.Results))
+		}
 		former := wt.Options.FormerLease
 		if w.MayHaveLongestLease(inventory.Incarnation) {
 			former = wt.Options.MaxLease
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -162,7 +162,8 @@
 		switch {
 		case isGone:
 			wt.Options.Count("runs_lost")
-			wt.Report("A run is lost because its worker left or its lease expired.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID, "epoch", wt.Options.Epoch)
+			wt.Report("A run is lost because its worker left or its lease expired.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID,
+				"has_left", w.HasLeft(wt.Now), "last_reply", w.RepliedAt, "lease_end", w.Lease.ExpiresAt, "last_append_sent", wt.Claim.ConfirmedAt())
 			wt.reconciler.Resolve(r)
 		case r.Stopping && r.StopAckedAt.IsZero() && wt.Now.Sub(r.StopSentAt) >= monitor.RetryPause && !w.HasFailedPoll:
 			wt.reconciler.SendStop(r)
