Tell starts during a run from starts after an acknowledged end

Cause of the gap: the fleet kept one set of acknowledged tasks, and recorded one overlap for each start. A start between the end of a run and its later acknowledgement was not found. Change: the package auditor keeps each run with its worker, its number, the token of its start, its end and when that end was acknowledged, and reports each kind on its own, with both runs. An acknowledgement now also finds the starts since that end. An acknowledgement after a lapse of the worker's lease still does not count.

--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -24,6 +24,7 @@
 	"lentilrock.example/internal/container/sorter"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/orderer"
+	"lentilrock.example/internal/standin/auditor"
 )
 
 // run is a run of a task on a worker.
@@ -32,6 +33,13 @@
 	endsAt    time.Time
 	isFailing bool
 	percent   int
+	audited   *auditor.Run
+}
+
+// result is the result of an ended run.
+type result struct {
+	orderer.RunResult
+	audited *auditor.Run
 }
 
 // Worker is a simulated worker that checks fencing tokens. Its fields inject faults.
@@ -59,19 +67,12 @@
 	leaseDeadline time.Duration
 	runs          map[string]*run
 	highestRuns   map[string]int64
-	results       []orderer.RunResult
+	results       []result
 	lastResult    int64
 	// lapsedResult is the number of the last result before the worker's lease expired for the last time.
 	lapsedResult int64
 }
 
-// Overlap reports a start of a task that was already running, or for which a result of kind EndDone
-// was acknowledged.
-type Overlap struct {
-	Task string
-	At   time.Time
-}
-
 // Fleet is the set of workers of a cell. At each start it checks two invariants. A task has no
 // concurrent runs and does not restart after a result of kind EndDone was acknowledged, unless
 // MaySpeculate allows it to have copies. The tasks on a worker never need more than its capacity.
@@ -85,10 +86,9 @@
 	// starts counts the runs of each task.
 	starts map[string]int
 	done   map[string]bool
-	// acknowledged holds the tasks with an acknowledged result of kind EndDone. A result does not count
-	// if the worker's lease expired before it was acknowledged, as the task may have started elsewhere.
-	acknowledged map[string]bool
-	overlaps     []Overlap
+	// auditor does not hear of an acknowledged result if the worker's lease expired before, as the task
+	// may have started elsewhere.
+	auditor *auditor.Auditor
 	// overcommitted lists the IDs of workers whose tasks needed more than their capacity.
 	overcommitted []string
 	demand        func(ref describer.TaskRef) describer.Resources
@@ -107,7 +107,7 @@
 func NewFleet(clock clockwork.Clock, runTime func(ref describer.TaskRef) time.Duration, demand func(ref describer.TaskRef) describer.Resources) *Fleet {
 	return &Fleet{
 		clock: clock, runTime: runTime, workers: make(map[string]*Worker), starts: make(map[string]int),
-		done: make(map[string]bool), acknowledged: make(map[string]bool), demand: demand,
+		done: make(map[string]bool), auditor: auditor.New(), demand: demand,
 	}
 }
 
@@ -173,12 +173,12 @@
 	return len(f.done)
 }
 
-// Violations returns the violations of the invariants so far: the overlapping starts, and the IDs of
-// the workers that were over capacity.
-func (f *Fleet) Violations() ([]Overlap, []string) {
+// Violations returns the violations of the invariants so far: the starts of tasks that ran twice, and the
+// IDs of the workers that were over capacity.
+func (f *Fleet) Violations() ([]auditor.Violation, []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.overlaps, f.overcommitted
+	return f.auditor.Violations(), f.overcommitted
 }
 
 // Running returns the names of the tasks that run on a worker.
@@ -210,20 +210,22 @@
 		r := w.runs[name]
 		switch {
 		case f.uptime(w) > w.leaseDeadline && w.leaseDeadline > 0 && w.startedAt.Add(w.leaseDeadline).Before(r.endsAt):
-			f.endRun(w, name, r, orderer.EndLapsed)
+			f.endRun(w, name, r, orderer.EndLapsed, w.startedAt.Add(w.leaseDeadline))
 		case !now.Before(r.endsAt) && r.isFailing:
-			f.endRun(w, name, r, orderer.EndFailed)
+			f.endRun(w, name, r, orderer.EndFailed, r.endsAt)
 		case !now.Before(r.endsAt):
 			f.done[name] = true
-			f.endRun(w, name, r, orderer.EndDone)
+			f.endRun(w, name, r, orderer.EndDone, r.endsAt)
 		}
 	}
 }
 
-func (f *Fleet) endRun(w *Worker, name string, r *run, kind orderer.EndKind) {
+func (f *Fleet) endRun(w *Worker, name string, r *run, kind orderer.EndKind, at time.Time) {
 	delete(w.runs, name)
+	r.audited.End(at, kind == orderer.EndDone)
 	w.lastResult++
-	w.results = append(w.results, orderer.RunResult{Number: w.lastResult, Task: r.Task, Run: r.Run, Kind: kind, Checkpoint: r.Checkpoint})
+	ended := orderer.RunResult{Number: w.lastResult, Task: r.Task, Run: r.Run, Kind: kind, Checkpoint: r.Checkpoint}
+	w.results = append(w.results, result{ended, r.audited})
 }
 
 // deliver returns the worker that accepts an order with a fencing token, and raises the
@@ -285,17 +287,18 @@
 		return orderer.Lapsed
 	}
 	w.highestRuns[name] = s.Run
-	f.checkInvariants(w, name, s.Task)
+	f.checkCapacity(w, s.Task)
 	w.runs[name] = &run{
 		Running: orderer.Running{Task: s.Task, Run: s.Run, Checkpoint: s.Checkpoint},
 		endsAt:  f.clock.Now().Add(time.Duration(max(w.Slowness, 1)) * f.runTime(s.Task)), isFailing: w.Fails, percent: 100,
+		audited: f.audit(w, name, s),
 	}
 	f.starts[name]++
 	return w.reply()
 }
 
-// checkInvariants records an overlap or an overcommitted worker that a start causes.
-func (f *Fleet) checkInvariants(w *Worker, name string, ref describer.TaskRef) {
+// checkCapacity records an overcommitted worker that a start causes.
+func (f *Fleet) checkCapacity(w *Worker, ref describer.TaskRef) {
 	used := f.demand(ref)
 	for _, r := range w.runs {
 		used = used.Plus(f.demand(r.Task))
@@ -303,16 +306,23 @@
 	if !used.Fits(w.Info.Capacity) {
 		f.overcommitted = append(f.overcommitted, w.Info.ID)
 	}
-	if f.MaySpeculate != nil && f.MaySpeculate(ref) {
-		return
+}
+
+// audit records a start with the auditor.
+func (f *Fleet) audit(w *Worker, name string, s orderer.Start) *auditor.Run {
+	started := auditor.Run{
+		Task: name, Worker: w.Info.ID, Number: s.Run, Token: s.Token, StartedAt: f.clock.Now(),
+		MaySpeculate: f.MaySpeculate != nil && f.MaySpeculate(s.Task),
 	}
-	for _, other := range f.workers {
+	var running *auditor.Run
+	for _, id := range sorter.Keys(f.workers) {
+		other := f.workers[id]
 		f.updateRuns(other)
-		if _, isRunning := other.runs[name]; isRunning || f.acknowledged[name] {
-			f.overlaps = append(f.overlaps, Overlap{Task: name, At: f.clock.Now()})
-			return
+		if r, isRunning := other.runs[name]; isRunning && running == nil {
+			running = r.audited
 		}
 	}
+	return f.auditor.Start(started, running)
 }
 
 // Stop ends the runs of a task up to and including the named one, and prevents their start.
@@ -329,7 +339,7 @@
 	name := s.Task.String()
 	w.highestRuns[name] = max(w.highestRuns[name], s.Run)
 	if r, isRunning := w.runs[name]; isRunning && r.Run <= s.Run {
-		f.endRun(w, name, r, orderer.EndStopped)
+		f.endRun(w, name, r, orderer.EndStopped, f.clock.Now())
 	}
 	return w.reply()
 }
@@ -402,16 +412,19 @@
 		return orderer.Inventory{}, verdict
 	}
 	f.extendLease(w, l.Deadline)
-	w.results = slices.DeleteFunc(w.results, func(e orderer.RunResult) bool {
+	w.results = slices.DeleteFunc(w.results, func(e result) bool {
 		if e.Number > l.Acknowledged {
 			return false
 		}
-		if e.Kind == orderer.EndDone && e.Number > w.lapsedResult {
-			f.acknowledged[e.Task.String()] = true
+		if e.Number > w.lapsedResult {
+			f.auditor.Acknowledge(e.audited, f.clock.Now())
 		}
 		return true
 	})
-	inventory := orderer.Inventory{Incarnation: w.Info.Incarnation, Clock: f.uptime(w), Results: slices.Clone(w.results)}
+	inventory := orderer.Inventory{Incarnation: w.Info.Incarnation, Clock: f.uptime(w)}
+	for _, e := range w.results {
+		inventory.Results = append(inventory.Results, e.RunResult)
+	}
 	for _, name := range sorter.Keys(w.runs) {
 		r := w.runs[name]
 		running := r.Running
