--- a/internal/standin/fencer/store.go
+++ b/internal/standin/fencer/store.go
@@ -124,6 +124,13 @@
 	s.topics[topic] = append(s.topics[topic], entry)
 }
 
+// Entries returns all records of a topic, also while the store is down.
+func (s *Store) Entries(topic storer.Topic) []storer.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topics[topic]
+}
+
 // Append adds records to a topic and returns the offset of the first. It returns
 // storer.ErrFenced for an outdated epoch or a gap in the sequence, storer.ErrRefused if the store
 // is down or has too many queued appends, and storer.ErrOutcomeUnknown if the outcome is unknown.
