Count what a restart shows only after an append, and outlive a silent outage

Found by the review of the incident, each with a test: - a new holder took the first reply of a worker that had restarted since for proof that it runs nothing of a former holder. Leases may last 11 s instead of 10 s (TestRunsOutliveASilentOutage). - long-running tasks on drained workers were stopped right after a takeover, and by a holder without the store, although another holder may have stopped others of their step: this waits 3 s after the claim, and needs a recent append, as upkeep does.

--- a/internal/fleet/confirmer/confirmer.go
+++ b/internal/fleet/confirmer/confirmer.go
@@ -29,8 +29,8 @@
 
 const (
 	// Authority is how long after the sending of its last append that succeeded the leases of a holder may last.
-	// It covers an outage of the store of 9 s, a heartbeat interval and the first append after the outage.
-	Authority = 10 * time.Second
+	// It covers an outage of the store of 9 s without any reply, a heartbeat interval and two appends after the outage.
+	Authority = 11 * time.Second
 	// maxPause is the longest pause after which the holder goes on without a confirmation.
 	maxPause = 2 * time.Second
 	// Validity is how long after it was sent a successful append allows orders that no fencing token
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -180,7 +180,7 @@
 			e.Hold(r.Task)
 			e.reconciler.Resolve(r)
 		}
-		worker.Lease.ExpiresAt = e.Now
+		worker.Lease.EndNow(e.Now)
 	}
 }
 
@@ -188,7 +188,10 @@
 // machines that was requested when no orders of a former holder were in flight any more.
 func (e *Evacuator) Tick(now time.Time) {
 	e.Now = now
-	e.moveLongRunning()
+	// A former holder may have stopped others of a step shortly before, and a successor may do so now.
+	if now.Sub(e.ClaimedAt) >= formerHolderGrace && e.Claim.MayOrderUnfenced(now) {
+		e.moveLongRunning()
+	}
 	if e.listedAt.Sub(e.ClaimedAt) < formerHolderGrace {
 		return
 	}
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -62,5 +62,12 @@
 	}
 }
 
+// EndNow records that nothing that was covered by a lease goes on at now. A lease that has ended stays as it is.
+func (l *Lease) EndNow(now time.Time) {
+	if l.ExpiresAt.After(now) {
+		l.ExpiresAt = now
+	}
+}
+
 // HasExpired reports whether all granted leases have expired.
 func (l *Lease) HasExpired(now time.Time) bool { return now.After(l.ExpiresAt) }
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -113,6 +113,9 @@
 	Incarnation int64
 	// FormerIncarnation is the incarnation that the former holder knew; 0 if it knew none.
 	FormerIncarnation int64
+	// restartSeenAt is when the worker first replied, if it had restarted since the former holder persisted the roster: a
+	// later holder may have acknowledged results of the former incarnation.
+	restartSeenAt time.Time
 	// HadLongestLease reports that the worker had the longest lease when the former holder persisted the roster.
 	HadLongestLease bool
 	// longestLeaseUntil is until when the worker may have the longest lease, as it has restarted; zero if it can't.
@@ -177,6 +180,9 @@
 // persisted progress. confirmedAt is when the newest append under the claim that succeeded was sent.
 func (w *Worker) MayHaveUnknownRuns(confirmedAt time.Time) bool {
 	isUnread := !w.IsSynced && !w.IsUnresponsive || w.IsSynced && !w.HasListedResults
+	if !w.restartSeenAt.IsZero() && !w.restartSeenAt.Before(confirmedAt) {
+		return true
+	}
 	return isUnread && w.MayHaveUnlistedRuns(confirmedAt)
 }
 
@@ -284,6 +290,13 @@
 	return w.HadLongestLease || w.FormerIncarnation != 0 && w.FormerIncarnation != incarnation
 }
 
+// BeginSync records the first reply of the worker under the current fencing token.
+func (w *Worker) BeginSync(incarnation int64, now time.Time) {
+	if w.FormerIncarnation != 0 && w.FormerIncarnation != incarnation {
+		w.restartSeenAt = now
+	}
+}
+
 // MayGetLateCalls reports whether calls without a reply may still be carried out that matter to a later incarnation:
 // starts, and polls that acknowledge results.
 func (w *Worker) MayGetLateCalls(now time.Time) bool {
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -87,6 +87,7 @@
 		wt.Report("A worker replies to polls again.", "worker", w.Info.ID)
 	}
 	if !w.IsSynced {
+		w.BeginSync(inventory.Incarnation, wt.Now)
 		// The worker has now seen this holder's fencing token and refuses former holders. Until
 		// now one of them could have renewed its lease.
 		if sinceClaim := wt.Now.Sub(wt.ClaimedAt); sinceClaim > lateFirstReply {
@@ -129,7 +130,8 @@
 	if len(w.Runs) > 0 {
 		wt.Report("Another worker has taken over the address of a worker, whose runs are lost.", "worker", w.Info.ID, "runs_lost", len(w.Runs))
 	}
-	w.HasFailedPoll, w.Lease.ExpiresAt = true, wt.Now
+	w.HasFailedPoll = true
+	w.Lease.EndNow(wt.Now)
 	for _, r := range w.Runs {
 		wt.Hold(r.Task)
 		wt.reconciler.Resolve(r)
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -151,7 +151,7 @@
 // repeats its unacknowledged stops.
 func (wt *Watcher) tickWorker(w *monitor.Worker) {
 	isGone := w.IsGone(wt.Now, wt.Claim.ConfirmedAt())
-	if !isGone && w.IsGone(wt.Now, wt.Now) {
+	if !isGone && w.IsGone(wt.Now, wt.Now) || w.MayHaveUnknownRuns(wt.Claim.ConfirmedAt()) && !w.MayHaveUnknownRuns(wt.Now) {
 		wt.RequestConfirmation()
 	}
 	if w.EndLongestLease(wt.Now) {
