Model the authority and the confirmation of a holder

The model assumed that a former holder acts for at most GRACE ticks after its successor's claim, which nothing in the code kept. Within GRACE no tick passed, so no former holder could take a run for lost whose lease its successor renews. NO_GRACE_END only showed that the assumption was needed.

Now holders go on without a bound and never learn of their successors. What ends them is what the product does: - an append succeeds only under the newest claim, and sets the authority of the holder; no lease or start deadline is longer than what remains of it, and without it nothing is started or given up; - a run is given up, and the end of the wait counts, only once an append has succeeded after that; - the wait is counted from the last record of a former holder.

What else changed, and why it is no weaker: - Each claim has a holder of its own, instead of two hosts that claim again. The time promised is kept for the assigned worker alone; that of others was never read. - LEASE is 2 and AUTHORITY 3. The product sends nothing that could not have a whole lease; the model allows shorter ones. - A start more for 2 holders: with one start each, a former holder can't start again after it gave a run up. - An acknowledgement now stores the token, as the poll does that carries it (reconciler.NextPoll). Without that, 3 holders with 2 starts each gave a counterexample: the newest holder acknowledges at a worker that it has never polled, where a former holder then starts the task again. The former model did not store it either (read; not run with 2 starts). It is a variant now, NO_ACK_TOKEN.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -69,12 +69,16 @@
 expect_violation claims -DHOSTS=3 -DEPOCHS=3 -DCLAIMERS=4 -DRENAMERS=1 -DRENAME_EXTENDS
 expect_violation claims -DHOSTS=3 -DEPOCHS=3 -DCLAIMERS=4 -DRENAMERS=1 -DSTALE_CONFIRMATION
 expect_holds fence -DEPOCHS=2 -DRUNS=2
+expect_holds fence -DEPOCHS=2 -DRUNS=3
 expect_holds fence -DEPOCHS=3 -DRUNS=2
 expect_violation fence -DEPOCHS=2 -DRUNS=2 -DNO_FENCE
-expect_violation fence -DEPOCHS=2 -DRUNS=2 -DNO_GRACE_END
+expect_violation fence -DEPOCHS=2 -DRUNS=2 -DNO_AUTHORITY
+expect_violation fence -DEPOCHS=2 -DRUNS=3 -DNO_CONFIRMATION
+expect_violation fence -DEPOCHS=3 -DRUNS=2 -DNO_CONFIRMED_WAIT
 expect_violation fence -DEPOCHS=2 -DRUNS=2 -DNO_INITIAL_POLL
 expect_violation fence -DEPOCHS=2 -DRUNS=2 -DNO_WAIT
 expect_violation fence -DEPOCHS=2 -DRUNS=2 -DEARLY_ACK
+expect_violation fence -DEPOCHS=3 -DRUNS=3 -DLEASE=1 -DAUTHORITY=2 -DNO_ACK_TOKEN
 expect_violation fence -DEPOCHS=2 -DRUNS=3 -DNO_STOP
 echo "model: $failures failed"
 [ "$failures" = 0 ]
--- a/spec/fence.pml
+++ b/spec/fence.pml
@@ -1,47 +1,57 @@
 /*
  * Model of one task on workers that check fencing tokens. The holder of the newest claim, a
  * record in the store, is the leader; the epoch of the claim is the fencing token. The model
- * covers claims, polls of the workers, delayed starts, stops, leases, and results of ended runs,
- * which a worker deletes after they are persisted and acknowledged.
+ * covers claims, appends under a claim, polls of the workers, delayed starts, stops, leases, and
+ * results of ended runs, which a worker deletes after they are persisted and acknowledged.
  *
- * Any host, any worker and the store may stop at any step, so pauses, partitions, crashes without
- * notice and outages need no transitions of their own. Time advances in ticks at arbitrary moments;
- * each timer is the number of ticks that remain. One assumption is also a timer: a former holder
- * that no worker or store has informed of its successor acts for at most GRACE ticks after the new
- * claim.
+ * Any holder, any worker and the store may stop at any step, so pauses, partitions, crashes without
+ * notice and outages need no transitions of their own; nor do orders and appends that are rejected.
+ * A holder never learns of its successor: it may go on for as long as the rules let it, at any
+ * workers. Each claim has a holder of its own, so a host that claims again is a holder that stopped
+ * and a new one. Time advances in ticks at arbitrary moments; each timer is the number of ticks
+ * that remain.
  *
  * Invariants: the task never runs on two workers at the same time, and it never starts after its
  * end was acknowledged, unless the lease of the worker on which it ended had expired before.
  * spec/check.sh explores the whole state space of the model, and searches each variant, from
  * which one rule is removed, for a counterexample. Each of these options removes the rule next to it:
  *
- *   NO_FENCE         a worker rejects orders with a token below the highest one that it received
- *   NO_GRACE_END     a former holder acts for at most GRACE ticks after the new claim
- *   NO_INITIAL_POLL  before a holder starts the task, each worker has replied to it or takeoverWait is over
- *   NO_WAIT          takeoverWait lasts TAKEOVER_WAIT ticks from the claim
- *   EARLY_ACK        a result is acknowledged only after it is persisted
- *   NO_STOP          before another start, a start without a reply is stopped or expires
+ *   NO_FENCE            a worker rejects orders with a token below the highest one that it received
+ *   NO_AUTHORITY        a holder grants no lease that ends later than AUTHORITY ticks after its last append
+ *   NO_CONFIRMATION     a run whose lease has expired counts as lost only after a later append
+ *   NO_CONFIRMED_WAIT   the end of takeoverWait counts only after a later append
+ *   NO_INITIAL_POLL     before a holder starts the task, each worker has replied to it or takeoverWait is over
+ *   NO_WAIT             takeoverWait lasts AUTHORITY ticks from the last record of a former holder
+ *   EARLY_ACK           a result is acknowledged only after it is persisted
+ *   NO_ACK_TOKEN        a worker stores the token of an acknowledgement, which a poll carries
+ *   NO_STOP             before another start, a start without a reply is stopped or expires
  */
 
-#define HOSTS 2
 #ifndef EPOCHS
 #define EPOCHS 3
 #endif
 #define WORKERS 2
 #define NONE WORKERS
+/* A holder sends at most RUNS - 1 starts. */
 #ifndef RUNS
-#define RUNS 3
+#define RUNS 2
+#endif
+/* A run outlasts a tick, and so can be renewed after one, only if LEASE is at least 2. */
+#ifndef LEASE
+#define LEASE 2
+#endif
+#ifndef AUTHORITY
+#define AUTHORITY 3
 #endif
-#define LEASE 1
-#define GRACE 1
-#define TAKEOVER_WAIT (LEASE + GRACE + 1)
 /* A start order is identified by its epoch, run and worker; a run by its epoch and number. */
 #define ORDER(e, r, w) (((e) * RUNS + (r)) * WORKERS + (w))
 #define RUN_ID(e, r) ((e) * RUNS + (r))
+#define POLL(e, w) ((e) * WORKERS + (w))
 
 /* The store. */
-byte epoch = 0;
+byte epoch = 0;        /* of the newest claim */
 bool persisted;
+byte lastRecord;       /* the time until AUTHORITY ticks have passed since the last claim or append */
 
 /* The workers. */
 byte token[WORKERS];
@@ -56,80 +66,97 @@
  * a start after its deadline, so 0 stands for no start. */
 byte startDeadline[ORDER(EPOCHS + 1, 0, 0)];
 
-/* The hosts. */
-byte claimEpoch[HOSTS];              /* the epoch of the host's claim; 0 if it has none or knows of a newer one */
-byte grace[HOSTS];                   /* the remaining time for which a former holder may still act */
-byte assignedWorker[HOSTS] = NONE;   /* the worker on which the holder assumes the task to be */
-byte runNumber[HOSTS];
-bool confirmed[HOSTS];               /* a poll showed that the task runs on the assigned worker */
-bool knowsEnd[HOSTS];
-bool polled[HOSTS * WORKERS];        /* the worker has replied to a poll of this holder since its claim */
-/* Two timers for each holder and worker. takeoverWait is the remaining time until the worker, even if
- * it has not replied to a poll, cannot run tasks that former holders started. promisedLease is the
- * remaining time until the worker cannot run tasks that this holder started or whose lease it renewed. */
-byte takeoverWait[HOSTS * WORKERS];
-byte promisedLease[HOSTS * WORKERS];
+/* The holders, each identified by the epoch of its claim. */
+byte authority[EPOCHS + 1];               /* the remaining time for which it may grant leases */
+byte assignedWorker[EPOCHS + 1] = NONE;   /* the worker on which the holder assumes the task to be */
+byte runNumber[EPOCHS + 1];
+bool confirmed[EPOCHS + 1];               /* a poll showed that the task runs on the assigned worker */
+bool knowsEnd[EPOCHS + 1];
+bool polled[POLL(EPOCHS + 1, 0)];         /* the worker has replied to a poll of this holder */
+/* The remaining time until a worker without a reply cannot run tasks that former holders started,
+ * and until the assigned worker cannot run what this holder started or renewed there. Each has a
+ * flag: an append of this holder has succeeded after that time. */
+byte takeoverWait[EPOCHS + 1];
+bool waitOver[EPOCHS + 1];
+byte promisedLease[EPOCHS + 1];
+bool runLost[EPOCHS + 1];
 
 #ifdef NO_FENCE
 #define ACCEPTS(w, e) true
 #else
 #define ACCEPTS(w, e) (token[w] <= (e))
 #endif
-#define CAN_ACT(h) (claimEpoch[h] > 0 && (claimEpoch[h] == epoch || grace[h] > 0))
+#define HAS_CLAIMED(e) ((e) <= epoch)
+#define GRANT(e) (authority[e] < LEASE -> authority[e] : LEASE)
 
-inline clearAssignment(h, w) { assignedWorker[h] = NONE; confirmed[h] = false }
+inline clearAssignment(e) {
+  assignedWorker[e] = NONE; confirmed[e] = false; promisedLease[e] = 0; runLost[e] = false
+}
 
-inline claim(h) {
+/* The next holder claims. The claim counts as its first append. */
+inline claim() {
   atomic {
     epoch < EPOCHS ->
-    grace[0] = (claimEpoch[0] > 0 && claimEpoch[0] == epoch -> GRACE : grace[0]);
-    grace[1] = (claimEpoch[1] > 0 && claimEpoch[1] == epoch -> GRACE : grace[1]);
-    epoch++; claimEpoch[h] = epoch; assignedWorker[h] = NONE; runNumber[h] = 0; confirmed[h] = false;
-    knowsEnd[h] = persisted;
-    polled[h * WORKERS] = false; polled[h * WORKERS + 1] = false;
-#ifdef NO_WAIT
-    takeoverWait[h * WORKERS] = 0; takeoverWait[h * WORKERS + 1] = 0;
-#else
-    takeoverWait[h * WORKERS] = TAKEOVER_WAIT; takeoverWait[h * WORKERS + 1] = TAKEOVER_WAIT;
+    epoch++; knowsEnd[epoch] = persisted; authority[epoch] = AUTHORITY;
+#ifndef NO_WAIT
+    takeoverWait[epoch] = lastRecord;
 #endif
-    promisedLease[h * WORKERS] = 0; promisedLease[h * WORKERS + 1] = 0
+    waitOver[epoch] = (takeoverWait[epoch] == 0);
+    lastRecord = AUTHORITY
   }
 }
 
-/* A poll: the worker stores the token and renews its lease, and the holder reads its inventory. */
-inline poll(h, w) {
+/* An append succeeds only under the newest claim. It may carry the result of the task. */
+inline append(e) {
   atomic {
-    CAN_ACT(h) ->
+    e == epoch ->
+    authority[e] = AUTHORITY; lastRecord = AUTHORITY;
+    waitOver[e] = (takeoverWait[e] == 0);
+    runLost[e] = (assignedWorker[e] != NONE && promisedLease[e] == 0);
     if
-    :: ACCEPTS(w, claimEpoch[h]) ->
-      token[w] = claimEpoch[h]; polled[h * WORKERS + w] = true;
-      if
-      :: ended[w] -> knowsEnd[h] = true
-      :: else
-      fi;
+    :: knowsEnd[e] -> persisted = true
+    :: true
+    fi
+  }
+}
+
+/* A poll: the worker stores the token, and the holder reads its inventory and, while it has
+ * authority, renews the lease. */
+inline poll(e, w) {
+  atomic {
+    HAS_CLAIMED(e) && ACCEPTS(w, e) ->
+    token[w] = e; polled[POLL(e, w)] = true;
+    if
+    :: ended[w] -> knowsEnd[e] = true
+    :: else
+    fi;
+    if
+    :: running[w] ->
+      assignedWorker[e] = w; confirmed[e] = true;
       if
-      :: running[w] ->
-        assignedWorker[h] = w; confirmed[h] = true; lease[w] = LEASE; promisedLease[h * WORKERS + w] = LEASE + 1
-      :: !running[w] && assignedWorker[h] == w && confirmed[h] -> clearAssignment(h, w)
+      :: authority[e] > 0 -> lease[w] = GRANT(e); promisedLease[e] = GRANT(e); runLost[e] = false
       :: else
       fi
-    :: else -> claimEpoch[h] = 0
+    :: !running[w] && assignedWorker[e] == w && confirmed[e] -> clearAssignment(e)
+    :: else
     fi
   }
 }
 
 #ifdef NO_INITIAL_POLL
-#define NO_OLD_RUNS(h, w) true
+#define NO_OLD_RUNS(e, w) true
+#elif defined(NO_CONFIRMED_WAIT)
+#define NO_OLD_RUNS(e, w) (polled[POLL(e, w)] || takeoverWait[e] == 0)
 #else
-#define NO_OLD_RUNS(h, w) (polled[(h) * WORKERS + (w)] || takeoverWait[(h) * WORKERS + (w)] == 0)
+#define NO_OLD_RUNS(e, w) (polled[POLL(e, w)] || waitOver[e])
 #endif
 
-inline sendStart(h, w) {
+inline sendStart(e, w) {
   atomic {
-    CAN_ACT(h) && assignedWorker[h] == NONE && !knowsEnd[h] && runNumber[h] + 1 < RUNS && polled[h * WORKERS + w] &&
-      NO_OLD_RUNS(h, 0) && NO_OLD_RUNS(h, 1) ->
-    runNumber[h]++; assignedWorker[h] = w; confirmed[h] = false;
-    startDeadline[ORDER(claimEpoch[h], runNumber[h], w)] = LEASE; promisedLease[h * WORKERS + w] = LEASE + 1
+    HAS_CLAIMED(e) && authority[e] > 0 && assignedWorker[e] == NONE && !knowsEnd[e] && runNumber[e] + 1 < RUNS &&
+      polled[POLL(e, w)] && NO_OLD_RUNS(e, 0) && NO_OLD_RUNS(e, 1) ->
+    runNumber[e]++; assignedWorker[e] = w; confirmed[e] = false; runLost[e] = false;
+    startDeadline[ORDER(e, runNumber[e], w)] = GRANT(e); promisedLease[e] = GRANT(e)
   }
 }
 
@@ -144,50 +171,53 @@
       token[w] = e; highestRun[w] = RUN_ID(e, r); running[w] = true; lease[w] = (lease[w] > remaining -> lease[w] : remaining);
       assert(!(running[0] && running[1]))
     :: else
-    fi
+    fi;
+    remaining = 0
   }
 }
 
 /* A stop resolves an unconfirmed start, one without a reply. */
-inline stopRun(h, w) {
+inline stopRun(e, w) {
   atomic {
-    CAN_ACT(h) && assignedWorker[h] == w && !confirmed[h] ->
 #ifdef NO_STOP
-    clearAssignment(h, w)
+    HAS_CLAIMED(e) && assignedWorker[e] == w && !confirmed[e] ->
 #else
+    HAS_CLAIMED(e) && assignedWorker[e] == w && !confirmed[e] && ACCEPTS(w, e) ->
+    token[w] = e; running[w] = false;
+    highestRun[w] = (highestRun[w] > RUN_ID(e, runNumber[e]) -> highestRun[w] : RUN_ID(e, runNumber[e]));
     if
-    :: ACCEPTS(w, claimEpoch[h]) ->
-      token[w] = claimEpoch[h]; running[w] = false;
-      highestRun[w] = (highestRun[w] > RUN_ID(claimEpoch[h], runNumber[h]) -> highestRun[w] : RUN_ID(claimEpoch[h], runNumber[h]));
-      if
-      :: ended[w] -> knowsEnd[h] = true
-      :: else
-      fi;
-      clearAssignment(h, w)
-    :: else -> claimEpoch[h] = 0
-    fi
+    :: ended[w] -> knowsEnd[e] = true
+    :: else
+    fi;
 #endif
+    clearAssignment(e)
   }
 }
 
 /* The lease of an unresponsive worker has expired, and so has a start that it has not executed. */
-inline expireRun(h, w) {
+inline expireRun(e) {
   atomic {
-    CAN_ACT(h) && assignedWorker[h] == w && promisedLease[h * WORKERS + w] == 0 ->
-    clearAssignment(h, w)
+    HAS_CLAIMED(e) && authority[e] > 0 && assignedWorker[e] != NONE &&
+#ifdef NO_CONFIRMATION
+      promisedLease[e] == 0 ->
+#else
+      runLost[e] ->
+#endif
+    clearAssignment(e)
   }
 }
 
 inline finishRun(w) { atomic { running[w] -> running[w] = false; ended[w] = true } }
 
-inline persistEnd(h) { atomic { claimEpoch[h] > 0 && claimEpoch[h] == epoch && knowsEnd[h] -> persisted = true } }
-
-inline acknowledgeEnd(h, w) {
+inline acknowledgeEnd(e, w) {
   atomic {
 #ifdef EARLY_ACK
-    CAN_ACT(h) && knowsEnd[h] && ended[w] && ACCEPTS(w, claimEpoch[h]) ->
+    HAS_CLAIMED(e) && knowsEnd[e] && ended[w] && ACCEPTS(w, e) ->
 #else
-    CAN_ACT(h) && knowsEnd[h] && persisted && ended[w] && ACCEPTS(w, claimEpoch[h]) ->
+    HAS_CLAIMED(e) && knowsEnd[e] && persisted && ended[w] && ACCEPTS(w, e) ->
+#endif
+#ifndef NO_ACK_TOKEN
+    token[w] = e;
 #endif
     acknowledged = acknowledged || !leaseExpired[w]; ended[w] = false; leaseExpired[w] = false
   }
@@ -196,42 +226,60 @@
 #define DECREMENT(x) x = (x > 0 -> x - 1 : 0)
 
 inline tick() {
-  atomic {
-    true ->
-#ifndef NO_GRACE_END
-    DECREMENT(grace[0]); DECREMENT(grace[1]);
-#endif
+  d_step {
     DECREMENT(lease[0]); DECREMENT(lease[1]);
     leaseExpired[0] = leaseExpired[0] || (ended[0] && lease[0] == 0);
     leaseExpired[1] = leaseExpired[1] || (ended[1] && lease[1] == 0);
     running[0] = running[0] && lease[0] > 0;
     running[1] = running[1] && lease[1] > 0;
+    DECREMENT(lastRecord);
     for (i : 0 .. ORDER(EPOCHS, RUNS - 1, 1)) { DECREMENT(startDeadline[i]) }
-    i = 0;
-    DECREMENT(takeoverWait[0]); DECREMENT(takeoverWait[1]); DECREMENT(takeoverWait[2]); DECREMENT(takeoverWait[3]);
-    DECREMENT(promisedLease[0]); DECREMENT(promisedLease[1]); DECREMENT(promisedLease[2]); DECREMENT(promisedLease[3])
+    for (i : 1 .. EPOCHS) {
+#ifndef NO_AUTHORITY
+      DECREMENT(authority[i]);
+#endif
+      DECREMENT(takeoverWait[i]); DECREMENT(promisedLease[i])
+    }
+    i = 0
   }
 }
 
+inline holderStep(e) {
+  if
+  :: append(e)
+  :: poll(e, 0)
+  :: poll(e, 1)
+  :: sendStart(e, 0)
+  :: sendStart(e, 1)
+  :: stopRun(e, 0)
+  :: stopRun(e, 1)
+  :: expireRun(e)
+  :: acknowledgeEnd(e, 0)
+  :: acknowledgeEnd(e, 1)
+  :: executeStart(e, 1, 0)
+  :: executeStart(e, 1, 1)
+#if RUNS > 2
+  :: executeStart(e, 2, 0)
+  :: executeStart(e, 2, 1)
+#endif
+  fi
+}
+
+#if EPOCHS < 2 || EPOCHS > 3 || RUNS < 2 || RUNS > 3
+#error "holderStep and cell list the steps of 2 or 3 holders with 1 or 2 starts each"
+#endif
+
 active proctype cell() {
-  byte h, w, e, r, i, remaining;
+  byte i, remaining;
   do
-  :: atomic {
-      select(h : 0 .. HOSTS - 1); select(w : 0 .. WORKERS - 1);
-      select(e : 1 .. EPOCHS); select(r : 1 .. RUNS - 1)
-    };
-    if
-    :: claim(h)
-    :: poll(h, w)
-    :: sendStart(h, w)
-    :: executeStart(e, r, w)
-    :: stopRun(h, w)
-    :: expireRun(h, w)
-    :: finishRun(w)
-    :: persistEnd(h)
-    :: acknowledgeEnd(h, w)
-    :: tick()
-    fi;
-    atomic { h = 0; w = 0; e = 0; r = 0; remaining = 0 }
+  :: claim()
+  :: finishRun(0)
+  :: finishRun(1)
+  :: tick()
+  :: holderStep(1)
+  :: holderStep(2)
+#if EPOCHS > 2
+  :: holderStep(3)
+#endif
   od
 }
