--- a/internal/entry/holder/holder_test.go
+++ b/internal/entry/holder/holder_test.go
@@ -56,6 +56,11 @@
 }
 
 func newHost(t *testing.T) *host {
+	return newHostWith(t, func(h *host) storer.Appender { return h })
+}
+
+// newHostWith returns a host whose holder appends through the appender that appenderOf returns for it.
+func newHostWith(t *testing.T, appenderOf func(h *host) storer.Appender) *host {
 	h := &host{clock: clockwork.NewRealClock(), state: journaler.New()}
 	h.fleet = fencer.NewFleet(h.clock, func(describer.TaskRef) time.Duration { return time.Hour },
 		func(describer.TaskRef) describer.Resources { return describer.Resources{MilliCPU: 3000} })
@@ -68,7 +73,7 @@
 	h.dispatcher = dispatcher.New(dispatcher.Options{Epoch: epoch}, h.state, h.clock.Now())
 	h.dispatcher.SetWorkers(h.clock.Now(), h.fleet.Workers())
 	h.holder = holder.New(holder.Options{
-		Epoch: epoch, Store: h, Appender: h, Workers: h.fleet, Machines: h.machines, Clock: h.clock, Logger: zap.NewNop(),
+		Epoch: epoch, Store: h, Appender: appenderOf(h), Workers: h.fleet, Machines: h.machines, Clock: h.clock, Logger: zap.NewNop(),
 		Update: h.update, OnFenced: func(string) { h.holder.Cancel() }, OnAppended: h.apply,
 		StoreReplies: func(context.Context) bool { return true },
 	})
--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -212,49 +212,18 @@
 		c.requireInvariants()
 	})
 	t.Run("a worker that restarted just before the takeover may have a longer lease than the former holder granted", func(t *testing.T) {
-		c := newCell(t, 2)
-		c.fleet.MaxLease = chaosMaxLease
-		c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
-		c.claim()
-		c.run(20 * time.Second)
-		step := tasks(1)
-		step.LongRunning = true
-		c.submit("a", describer.Queue{}, step)
-		c.save()
-		c.d.Tick(c.clock.Now())
-		for _, order := range c.d.TakeOrders() {
-			// The start arrives in the next life of its worker, whose clock is far behind the deadline.
-			start, isStart := order.(orderer.Start)
-			require.True(t, isStart)
-			c.fleet.Restart(start.Worker.ID, 2)
-			require.Equal(t, orderer.Accepted, c.fleet.Start(t.Context(), start))
-			c.fleet.Update(start.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
-		}
+		c, id := newCellWithLongestLease(t)
+		c.fleet.Update(id, func(w *fencer.Worker) { w.IsUnresponsive = true })
 		c.claim()
 		c.run(confirmer.Authority + 7*time.Second)
 		require.NotEmpty(t, c.starts)
 		c.requireInvariants()
 	})
 	t.Run("a worker that restarted unnoticed keeps its longest lease when it replies for the first time", func(t *testing.T) {
-		c := newCell(t, 2)
-		c.fleet.MaxLease = chaosMaxLease
-		c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
+		c, id := newCellWithLongestLease(t)
 		c.claim()
-		c.run(20 * time.Second)
-		step := tasks(1)
-		step.LongRunning = true
-		c.submit("a", describer.Queue{}, step)
-		c.save()
-		c.d.Tick(c.clock.Now())
-		for _, order := range c.d.TakeOrders() {
-			start, isStart := order.(orderer.Start)
-			require.True(t, isStart)
-			c.fleet.Restart(start.Worker.ID, 2)
-			require.Equal(t, orderer.Accepted, c.fleet.Start(t.Context(), start))
-			c.claim()
-			c.run(2 * tickInterval)
-			c.fleet.Update(start.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
-		}
+		c.run(2 * tickInterval)
+		c.fleet.Update(id, func(w *fencer.Worker) { w.IsUnresponsive = true })
 		c.run(7 * time.Second)
 		require.Equal(t, 2, c.fleet.Starts("a.0.0.0"))
 		c.requireInvariants()
@@ -422,6 +391,28 @@
 	})
 }
 
+// newCellWithLongestLease returns a cell in which a long-running task started on a worker that had just restarted without
+// the holder's knowledge, and the ID of that worker. The deadline of the start is far ahead of the worker's new clock.
+func newCellWithLongestLease(t *testing.T) (*cell, string) {
+	c := newCell(t, 2)
+	c.fleet.MaxLease = chaosMaxLease
+	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
+	c.claim()
+	c.run(20 * time.Second)
+	step := tasks(1)
+	step.LongRunning = true
+	c.submit("a", describer.Queue{}, step)
+	c.save()
+	c.d.Tick(c.clock.Now())
+	orders := c.d.TakeOrders()
+	require.Len(t, orders, 1)
+	start, isStart := orders[0].(orderer.Start)
+	require.True(t, isStart)
+	c.fleet.Restart(start.Worker.ID, 2)
+	require.Equal(t, orderer.Accepted, c.fleet.Start(t.Context(), start))
+	return c, start.Worker.ID
+}
+
 // TestOddProgress guards against a record of another writer that ends the process of each holder.
 func TestOddProgress(t *testing.T) {
 	c := newCell(t, 2)
