Give up the runs of a worker only when its lease has expired

The holder logged that a run on a draining worker was lost with has_left true, 3.26 s before it removed the worker because its lease had expired.

Cause: HasLeft took a draining worker for gone as soon as its entry was missing and its address had refused a poll. Both are silence: an entry expires in an outage of the store, and a proxy, a firewall or a listener that closes first refuses connections while the process runs on. That the record had this cause is suspected; the record has neither polls nor entries.

Why it works: no decision asks for a missing entry or a refused connection any more. Only the lease, whose deadline passes on the worker's clock, ends runs without a reply of the worker.

Tasks left on a worker that ends wait for its lease, 3.84 s after it was last extended, and at a takeover until the authority of former holders has ended.

Two tests asked for the shortcut, "tasks of a draining worker start elsewhere at once when it leaves" and "a worker that drained and left delays no tasks". Their claim was wrong: they stood for a worker that had left with one that refuses connections and runs on. They now ask for a start as soon as the lease or the authority has ended, and for none before. In "a task whose run was lost without a result starts again only after a confirmation" the worker that left waits for its lease, too.

--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -19,6 +19,10 @@
 const (
 	tickInterval = 20 * time.Millisecond
 	runTime      = 500 * time.Millisecond
+	// usualLease is the lease that a holder grants if its options name none.
+	usualLease = 3500 * time.Millisecond
+	// leaseOfFormerHolder is until when the lease of a former holder may last that had granted the longest one.
+	leaseOfFormerHolder = 7 * time.Second
 )
 
 // cell is a dispatcher with workers and a log in memory, driven by a fake clock.
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -76,14 +76,6 @@
 	Info describer.Worker
 	// IsListed reports that the worker is in the host list.
 	IsListed bool
-	// UnlistedAt is since when the worker is missing from the host list; zero while it is listed.
-	// AnsweredPollAt is when the newest poll that returned an inventory was sent, and RefusedPollAt
-	// when the newest one was sent that found no process at the worker's address. RefusedAt is when the first such
-	// reply arrived since the worker was last seen.
-	UnlistedAt     time.Time
-	AnsweredPollAt time.Time
-	RefusedPollAt  time.Time
-	RefusedAt      time.Time
 	// IsEnrolled reports that the newest persisted roster lists the worker as responsive.
 	// RosterBatch is the batch whose roster will list it; 0 if no such batch is pending.
 	IsEnrolled  bool
@@ -189,44 +181,17 @@
 // MayHaveUnlistedRuns is like MayHaveUnknownRuns for jobs whose persisted progress does not list the runs
 // on unresponsive workers.
 func (w *Worker) MayHaveUnlistedRuns(confirmedAt time.Time) bool {
-	return (!w.IsSynced || !w.HasListedResults) && !w.Lease.HasExpired(confirmedAt) && !w.HasLeft(confirmedAt)
+	return (!w.IsSynced || !w.HasListedResults) && !w.Lease.HasExpired(confirmedAt)
 }
 
-// IsGone reports whether the worker can no longer run anything: it has left, or all its leases have expired and it has
-// not replied for MaxReplyAge. A later holder may have renewed its lease, or acknowledged its results, unless an append
-// under the claim has succeeded that was sent after that, at confirmedAt.
-func (w *Worker) IsGone(now, confirmedAt time.Time) bool {
-	return w.HasExpired(now, confirmedAt) || w.HasLeft(confirmedAt)
-}
-
-// HasExpired reports whether all leases of the worker had expired at confirmedAt, and it has not replied for
-// MaxReplyAge.
+// HasExpired reports whether the worker can no longer run anything: all its leases have expired, and it has not replied
+// for MaxReplyAge. Nothing else shows that without a reply: an entry may expire, and an address may refuse connections,
+// while the worker is alive. A later holder may have renewed its lease, or acknowledged its results, unless an append under
+// the claim has succeeded that was sent after that, at confirmedAt.
 func (w *Worker) HasExpired(now, confirmedAt time.Time) bool {
 	return w.Lease.HasExpired(confirmedAt) && now.Sub(w.RepliedAt) > MaxReplyAge
 }
 
-// PollRefused records that a poll, sent at sentAt, found no process at the worker's address.
-func (w *Worker) PollRefused(sentAt, now time.Time) {
-	if !w.isRefused() {
-		w.RefusedAt = now
-	}
-	if sentAt.After(w.RefusedPollAt) {
-		w.RefusedPollAt = sentAt
-	}
-}
-
-// isRefused reports whether a poll found no process since the worker was last listed and last replied.
-func (w *Worker) isRefused() bool {
-	return !w.IsListed && w.RefusedPollAt.After(w.UnlistedAt) && w.RefusedPollAt.After(w.AnsweredPollAt)
-}
-
-// HasLeft reports whether a drained worker is gone: its entry was removed from the host list, and no
-// process has listened at its address since. An entry may also expire while the worker is alive, and a poll
-// without a reply says nothing about the worker, so that its leases have to expire.
-func (w *Worker) HasLeft(confirmedAt time.Time) bool {
-	return w.Info.Draining && w.isRefused() && w.RefusedAt.Before(confirmedAt)
-}
-
 // AcceptsTasks reports whether tasks may be started on the worker. The host list entry and the
 // replies must be of the same incarnation, since another one may have a different capacity. The worker gets no tasks
 // until polls that were sent to a former incarnation are back, and none can arrive any more that acknowledges results by
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -62,9 +62,6 @@
 			wt.pollFailed(w, verdict)
 		}
 	default:
-		if verdict == orderer.NoListener && isItsAddress {
-			w.PollRefused(poll.SentAt, wt.Now)
-		}
 		wt.pollFailed(w, verdict)
 	}
 }
@@ -101,9 +98,6 @@
 		w.Lease.ExpiresAt = wt.Now.Add(leaser.ExpiryOf(former))
 	}
 	w.HasFailedPoll, w.IsSynced, w.HasUnconfirmedStart, w.RepliedAt = false, true, false, wt.Now
-	if poll.SentAt.After(w.AnsweredPollAt) {
-		w.AnsweredPollAt = poll.SentAt
-	}
 	w.HasListedResults = w.HasListedResults || !inventory.MayOmitResults
 	w.ReplyClock, w.RepliedFrom = inventory.Clock, poll.Worker.Address
 	w.Lease.Sample(wt.Now, inventory.Clock)
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -71,12 +71,7 @@
 		if w.HasRestartedUnnoticed(info.Incarnation) {
 			wt.expectLongestLease(w)
 		}
-		w.Info, w.IsListed, w.UnlistedAt = info, true, time.Time{}
-	}
-	for _, w := range wt.Ordered {
-		if !w.IsListed && w.UnlistedAt.IsZero() {
-			w.UnlistedAt = now
-		}
+		w.Info, w.IsListed = info, true
 	}
 	slices.SortFunc(wt.Ordered, func(a, b *monitor.Worker) int { return strings.Compare(a.Info.ID, b.Info.ID) })
 }
@@ -137,8 +132,7 @@
 	}
 }
 
-// Tick resolves the runs of workers that have left or whose lease has expired, repeats stops
-// and removes workers that are no longer needed.
+// Tick resolves the runs of workers whose lease has expired, repeats stops and removes workers that are no longer needed.
 func (wt *Watcher) Tick() {
 	for _, w := range wt.Ordered {
 		w.IsDrained = wt.State.IsDrained(w.Info.ID, w.Info.Rack)
@@ -147,11 +141,10 @@
 	wt.removeExpired()
 }
 
-// tickWorker resolves the runs of a worker that has left or whose lease has expired, and
-// repeats its unacknowledged stops.
+// tickWorker resolves the runs of a worker whose lease has expired, and repeats its unacknowledged stops.
 func (wt *Watcher) tickWorker(w *monitor.Worker) {
-	isGone := w.IsGone(wt.Now, wt.Claim.ConfirmedAt())
-	if !isGone && w.IsGone(wt.Now, wt.Now) || w.MayHaveUnknownRuns(wt.Claim.ConfirmedAt()) && !w.MayHaveUnknownRuns(wt.Now) {
+	hasExpired := w.HasExpired(wt.Now, wt.Claim.ConfirmedAt())
+	if !hasExpired && w.HasExpired(wt.Now, wt.Now) || w.MayHaveUnknownRuns(wt.Claim.ConfirmedAt()) && !w.MayHaveUnknownRuns(wt.Now) {
 		wt.RequestConfirmation()
 	}
 	if w.EndLongestLease(wt.Now) {
@@ -160,10 +153,10 @@
 	wt.trackResponses(w)
 	for _, r := range w.Runs {
 		switch {
-		case isGone:
+		case hasExpired:
 			wt.Options.Count("runs_lost")
-			wt.Report("A run is lost because its worker left or its lease expired.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID,
-				"has_left", w.HasLeft(wt.Now), "last_reply", w.RepliedAt, "lease_end", w.Lease.ExpiresAt, "last_append_sent", wt.Claim.ConfirmedAt())
+			wt.Report("A run is lost because the lease of its worker expired.", "task", r.Ref.String(), "run", r.Number, "worker", w.Info.ID,
+				"is_listed", w.IsListed, "is_draining", w.Info.Draining, "last_reply", w.RepliedAt, "lease_end", w.Lease.ExpiresAt, "last_append_sent", wt.Claim.ConfirmedAt())
 			wt.reconciler.Resolve(r)
 		case r.Stopping && r.StopAckedAt.IsZero() && wt.Now.Sub(r.StopSentAt) >= monitor.RetryPause && !w.HasFailedPoll:
 			wt.reconciler.SendStop(r)
