Keep the runs of a worker whose address another one has

What callers would see: a task that runs twice. Seen in a test only.

Cause: a reply of another worker at the address was taken for proof that the former one had ended, and its runs were resolved at once. It shows who listens there, not that the former process has ended: a worker that leaves may close its listener before it ends its runs, and a path may lead to another worker. It is the same class as a refused connection.

Evidence: TestWorkerWhoseAddressAnotherOneHasKeepsItsTasks failed before (each task started twice).

Why it works: such a reply counts as a failed poll, so that the lease is extended no more and ends the runs. A restart of the worker itself, which its own reply shows, resolves them at once as before.

--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -13,7 +13,6 @@
 package monitor
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
@@ -114,9 +113,8 @@
 	longestLeaseUntil time.Time
 	// IncarnationAt is when the first reply of the incarnation arrived.
 	IncarnationAt time.Time
-	// RepliedAt is when the last reply arrived, and RepliedFrom the address from which it came.
-	RepliedAt   time.Time
-	RepliedFrom netip.AddrPort
+	// RepliedAt is when the last reply arrived.
+	RepliedAt time.Time
 	// pollsInFlight counts the polls without a reply so far, and stalePolls those of them that were
 	// sent before the worker began its current incarnation.
 	pollsInFlight, stalePolls int
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -31,8 +31,6 @@
 		return
 	}
 	isBeforeIncarnation := !poll.SentAt.After(w.IncarnationAt)
-	// The entry of another writer may name a wrong address, whose silence says nothing about the worker.
-	isItsAddress := !w.RepliedFrom.IsValid() || w.RepliedFrom == poll.Worker.Address
 	w.PollEnded(poll.Incarnation)
 	switch {
 	case poll.Acknowledged == 0:
@@ -54,11 +52,8 @@
 	case orderer.Fenced:
 		wt.IsFenced = true
 	case orderer.OtherIncarnation:
-		switch {
-		case isBeforeIncarnation:
-		case isItsAddress:
-			wt.workerReplaced(w)
-		default:
+		// The worker may live on, although another one has its address: only its lease ends its runs.
+		if !isBeforeIncarnation {
 			wt.pollFailed(w, verdict)
 		}
 	default:
@@ -99,7 +94,7 @@
 	}
 	w.HasFailedPoll, w.IsSynced, w.HasUnconfirmedStart, w.RepliedAt = false, true, false, wt.Now
 	w.HasListedResults = w.HasListedResults || !inventory.MayOmitResults
-	w.ReplyClock, w.RepliedFrom = inventory.Clock, poll.Worker.Address
+	w.ReplyClock = inventory.Clock
 	w.Lease.Sample(wt.Now, inventory.Clock)
 	wt.applyResults(w, inventory.Results)
 	present := make(map[monitor.RunKey]bool, len(inventory.Running))
@@ -119,19 +114,6 @@
 	}
 }
 
-// workerReplaced resolves the runs of a worker whose address now belongs to another worker.
-func (wt *Watcher) workerReplaced(w *monitor.Worker) {
-	if len(w.Runs) > 0 {
-		wt.Report("Another worker has taken over the address of a worker, whose runs are lost.", "worker", w.Info.ID, "runs_lost", len(w.Runs))
-	}
-	w.HasFailedPoll = true
-	w.Lease.EndNow(wt.Now)
-	for _, r := range w.Runs {
-		wt.Hold(r.Task)
-		wt.reconciler.Resolve(r)
-	}
-}
-
 // workerRestarted resolves the runs of a worker's former incarnation, which a reply to a poll shows. A start
 // without a reply may still reach the new incarnation, so its run stays until the worker has acknowledged a
 // stop. A start that was confirmed after the poll was sent may have reached the new one after that replied;
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -69,8 +69,11 @@
   ' && r.Persister.IsDurable(j)' '' $dispatcher 'TestJobs/a_job_whose_outcome'
 mutant "fence: polls do not extend the lease of an unresponsive worker" internal/fleet/reconciler/order.go \
   'if w.IsSynced && !w.HasFailedPoll {' 'if w.IsSynced {' $dispatcher 'TestWorkers/tasks_of_an_unresponsive'
-mutant "fence: runs of a replaced worker are lost" internal/fleet/watcher/poll.go \
-  'wt.workerReplaced(w)' 'w.HasFailedPoll = true' $dispatcher 'TestWorkers/tasks_of_a_replaced'
+mutant "fence: another worker at the address does not show that a worker has left" internal/fleet/watcher/poll.go \
+  'if !isBeforeIncarnation {
+			wt' 'if !isBeforeIncarnation {
+			w.Lease.EndNow(wt.Now)
+			wt' $dispatcher 'TestWorkerWhoseAddress'
 mutant "fence: a holder that was paused decides nothing before its claim is confirmed" internal/fleet/confirmer/confirmer.go \
   ' && !c.confirmedAt.Before(c.resumedAt)' '' internal/fleet/confirmer 'TestConfirmer'
 mutant "fence: a lease counts as expired only after a confirmation" internal/fleet/monitor/monitor.go \
