Keep the runs on a machine that lists omit or show no state of

What callers would see: a task that runs twice after the upkeep of a machine. Seen in a test only.

Cause: once the platform had confirmed the upkeep of a machine, its runs were resolved unless a list showed the machine up with the same worker: also if two lists omitted the machine, or its state was unknown. A confirmation may be that of an order that was carried out earlier, so that a later worker of the machine is running tasks; a missing entry doesn't show that it has ended.

Evidence: the new case of TestUpkeep failed before: with lists that omit the machine, tasks of its new worker started twice.

Why it works: only a list that shows the machine in upkeep, moving, or up with a later worker resolves the runs. Otherwise they go on until their lease expires, and the departure is forgotten with the worker. A line of the log says which runs a departure ends.

--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -150,6 +150,35 @@
 		require.Contains(t, c.machines.Reports(), completed)
 		c.requireInvariants()
 	})
+	t.Run("lists after such a reply that omit the machine, or show no state of it, end no run on its new worker", func(t *testing.T) {
+		for _, listed := range [][]describer.Machine{nil, {{ID: "m-w-0", Worker: "w-0+"}}} {
+			c, wave := newWave(t, 3, 1)
+			wave.Machines = wave.Machines[:1]
+			longRunning := describer.Step{Count: 3, LongRunning: true, MaxUnavailable: 3, Need: describer.Resources{MilliCPU: 1000, MemoryMB: 10}}
+			c.submit("serves", describer.Queue{}, longRunning)
+			c.run(time.Second)
+			c.machines.LosesReplies = true
+			c.d.SetWave(c.clock.Now(), wave)
+			c.run(6 * time.Second)
+			c.submit("more", describer.Queue{}, longRunning)
+			c.run(time.Second)
+			require.NotEmpty(t, c.fleet.Running("w-0+"))
+			c.machines.LosesReplies = false
+			for len(c.state.Waves[1].Done) == 0 {
+				c.run(tickInterval)
+			}
+			c.fleet.Update("w-0+", func(w *fencer.Worker) { w.IsUnresponsive = true })
+			for range 4 {
+				c.run(tickInterval)
+				c.d.SetMachines(c.clock.Now(), listed)
+			}
+			c.run(time.Second)
+			c.fleet.Update("w-0+", func(w *fencer.Worker) { w.IsUnresponsive = false })
+			c.run(4 * time.Second)
+			require.Equal(t, 6, c.countRunning())
+			c.requireInvariants()
+		}
+	})
 	t.Run("a task of the last machine starts elsewhere before its lease expires", func(t *testing.T) {
 		c, wave := newWave(t, 2, 1)
 		wave.Machines = wave.Machines[:1]
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -158,29 +158,41 @@
 	return isMissing && e.listedAt.After(since)
 }
 
-// resolveDepartures resolves the runs on the machines that a list shows without their last known worker, or
-// that no longer exist.
+// hasEnded reports whether a machine shows that its upkeep has ended the worker: it is in upkeep or moving, or a later
+// worker is up on it.
+func (d departure) hasEnded(machine describer.Machine) bool {
+	switch machine.State {
+	case describer.MachineInUpkeep, describer.MachineMoving:
+		return true
+	case describer.MachineUp:
+		return machine.Worker != "" && machine.Worker != d.worker
+	}
+	return false
+}
+
+// resolveDepartures resolves the runs on the machines that a list shows without their last known worker. Those on a machine
+// that lists omit, or whose state is unknown, go on until the lease of the worker expires.
 func (e *Evacuator) resolveDepartures() {
 	for id, d := range e.departures {
-		machine, isListed := e.machines[id]
-		if !e.listedAt.After(d.confirmedAt) || !isListed && !e.isGone(id) {
-			continue
-		}
-		delete(e.departures, id)
+		machine := e.machines[id]
 		worker, isKnown := e.Workers[d.worker]
-		isStillUp := machine.State == describer.MachineUp && machine.Worker == d.worker
-		if !isKnown || worker.Incarnation != d.incarnation {
+		switch {
+		case !e.listedAt.After(d.confirmedAt):
 			continue
-		}
-		if isStillUp {
+		case !isKnown || worker.Incarnation != d.incarnation:
+		case machine.State == describer.MachineUp && machine.Worker == d.worker:
 			worker.IsLeaving = false
+		case d.hasEnded(machine):
+			e.Report("A machine was taken down for its upkeep. The runs there are lost.", "machine", id, "worker", d.worker, "runs_lost", len(worker.Runs))
+			for _, r := range worker.Runs {
+				e.Hold(r.Task)
+				e.reconciler.Resolve(r)
+			}
+			worker.Lease.EndNow(e.Now)
+		default:
 			continue
 		}
-		for _, r := range worker.Runs {
-			e.Hold(r.Task)
-			e.reconciler.Resolve(r)
-		}
-		worker.Lease.EndNow(e.Now)
+		delete(e.departures, id)
 	}
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -74,6 +74,13 @@
 			wt' 'if !isBeforeIncarnation {
 			w.Lease.EndNow(wt.Now)
 			wt' $dispatcher 'TestWorkerWhoseAddress'
+mutant "fence: a machine that lists omit has not left" internal/fleet/evacuator/evacuator.go \
+  'machine := e.machines[id]
+		worker' 'machine, isListed := e.machines[id]
+		if !isListed {
+			machine.State = describer.MachineInUpkeep
+		}
+		worker' $dispatcher 'TestUpkeep/lists_after'
 mutant "fence: a holder that was paused decides nothing before its claim is confirmed" internal/fleet/confirmer/confirmer.go \
   ' && !c.confirmedAt.Before(c.resumedAt)' '' internal/fleet/confirmer 'TestConfirmer'
 mutant "fence: a lease counts as expired only after a confirmation" internal/fleet/monitor/monitor.go \
