Take only an accepted stop for an acknowledged one

What callers would see: a task that runs twice after a start without a reply. Seen in a test only.

Cause: each verdict on a stop that wasn't known as a failure counted as its acknowledgement, also that the stop was malformed or came too late. Such a refusal doesn't show that the worker will refuse the start if it arrives later.

Evidence: the new case of TestWorkers failed before: the task started elsewhere after a stop that was refused as malformed.

Why it works: a stop counts once the worker has accepted it, or says that it has seen the same or a higher run of the task; otherwise it is sent again.

--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -112,14 +112,15 @@
 	switch verdict {
 	case orderer.Fenced:
 		s.IsFenced = true
-	case orderer.Unknown, orderer.NotSent, orderer.NoListener, orderer.OtherIncarnation, orderer.Unhealthy:
-		// The watcher sends the stop again after monitor.RetryPause.
-	default:
+	case orderer.Accepted, orderer.Superseded:
 		if stop.SentAt.Before(w.IncarnationAt) {
 			return
 		}
 		r.StopAckedAt = now
 		s.PollNow(w)
+	default:
+		// The watcher sends the stop again after monitor.RetryPause. Other refusals do not show that a start which
+		// arrives later will be refused, too.
 	}
 }
 
