Guard the end of a lease by a test that needs it

The mutant that lets a worker without a reply block starts for ever survived: in its test the worker is removed when its lease expires, so that it blocks nothing anyway. The worker of TestReplacedWorkerBlocksNothingAtSlowStore stays listed; the mutant is killed there.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -172,8 +172,8 @@
   'j.MayHaveUnknownRuns = entry.HasProgress()' 'j.MayHaveUnknownRuns = false && entry.HasProgress()' $dispatcher 'TestTakeover/a_task_that_may'
 mutant "fence: no start before the progress is durable, so that a successor learns of it" internal/fleet/placer/placer.go \
   'return j.FirstProgressBatch <= p.Persister.LastDurable()' 'return true' $dispatcher 'TestTakeover/a_job_without_persisted'
-mutant "fence: a worker that left blocks no starts once its lease has expired" internal/fleet/monitor/monitor.go \
-  ' && !w.Lease.HasExpired(confirmedAt)' '' $dispatcher 'TestTakeover/a_worker_that_drained'
+mutant "fence: a worker without a reply blocks no starts once its lease has expired" internal/fleet/monitor/monitor.go \
+  ' && !w.Lease.HasExpired(confirmedAt)' '' $dispatcher 'TestReplacedWorkerBlocksNothing'
 mutant "fence: a drained worker that does not reply may have runs of a former holder" internal/fleet/monitor/monitor.go \
   ' && !w.Lease.HasExpired(confirmedAt)' ' && !w.Lease.HasExpired(confirmedAt) && !w.Info.Draining' $dispatcher 'TestTakeover/a_worker_that_drained'
 mutant "sharing: only steps that allow it have speculative copies" internal/fleet/tasker/ready.go \
