Log when a worker's entry vanishes and when its address refuses connections

Callers saw a task run twice, and the log of the holder could not tell why: whether the entry of the draining worker had vanished or come back, when its address first refused a connection, and whether its lease was valid then. A run that was given up too early and one whose worker had left looked the same, and so did a worker that was kept for its lease and one that was kept for an entry that had come back.

A line now tells of each of these, with the worker's runs, its last reply and the end of its lease, and the line of a worker's removal has these fields, too. No decision changes.

--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -142,6 +142,9 @@
 	Results       acknowledger.ResultTracker
 	Breaker       breaker.Breaker
 	Pacer         pacer.Pacer
+	// IsReportedMissing and IsReportedRefused report that the log says that the host list has no entry of the worker, and
+	// that its address refuses connections.
+	IsReportedMissing, IsReportedRefused bool
 	// roundTrip is the moving average of the round-trip times of starts.
 	roundTrip time.Duration
 }
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -75,6 +75,7 @@
 		wt.Report("A poll of a worker failed. The worker gets no tasks until it replies.", "worker", w.Info.ID, "verdict", verdict.String())
 	}
 	w.HasFailedPoll = true
+	wt.reportRefusal(w, verdict)
 }
 
 // applyInventory updates a worker and its runs from the reply to a poll.
@@ -85,6 +86,7 @@
 	}
 	if w.HasFailedPoll {
 		wt.Report("A worker replies to polls again.", "worker", w.Info.ID)
+		w.IsReportedRefused = false
 	}
 	if !w.IsSynced {
 		w.BeginSync(inventory.Incarnation, wt.Now)
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -79,6 +79,7 @@
 		}
 	}
 	slices.SortFunc(wt.Ordered, func(a, b *monitor.Worker) int { return strings.Compare(a.Info.ID, b.Info.ID) })
+	wt.reportEntries()
 }
 
 // Restore adds the workers of the roster that a former holder persisted, and the runs that it
@@ -121,7 +122,7 @@
 		if w.IsListed || len(w.Runs) > 0 || !w.HasExpired(wt.Now, wt.Claim.ConfirmedAt()) || w.MayGetLateCalls(wt.Now) {
 			return false
 		}
-		wt.Report("A worker is no longer listed and its lease has expired. It is removed.", "worker", w.Info.ID)
+		wt.Report("A worker is no longer listed and its lease has expired. It is removed.", contactOf(w)...)
 		delete(wt.Workers, w.Info.ID)
 		wt.Persister.MarkRosterChanged()
 		return true
