Count a machine that a list omits as down

What operators would see: more machines of a wave down than it allows (LIMIT). A list is read in pages and may omit a machine that exists; isGone allows for that and waits for a second list. countDown did not: a machine whose upkeep had begun and which the next list omitted counted as up, and another one was taken down at once.

Now a missing machine counts as down until isGone says that it no longer exists. The cost is at most one list's interval for a machine that does not exist.

Before, TestMachineMissingFromListCountsAsDown saw two machines down where the wave allows one; it passes now, and all machines get their upkeep.

--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -243,3 +244,28 @@
 		require.Zero(t, c.machines.LostRuns("a.0.0.0"), "the run must be stopped before the upkeep so that its checkpoint is kept")
 	})
 }
+
+// TestMachineMissingFromListCountsAsDown guards against a wave that takes more machines down than it allows, as a list omits one
+// that is down.
+func TestMachineMissingFromListCountsAsDown(t *testing.T) {
+	c, wave := newWave(t, 4, 1)
+	c.d.SetWave(c.clock.Now(), wave)
+	for range 500 {
+		if c.machines.MaxDown() > 0 {
+			break
+		}
+		c.run(tickInterval)
+	}
+	require.Equal(t, 1, c.machines.MaxDown())
+	c.clock.Advance(tickInterval)
+	listed, err := c.machines.List(t.Context())
+	require.NoError(t, err)
+	listed = slices.DeleteFunc(listed, func(m describer.Machine) bool { return m.State == describer.MachineInUpkeep })
+	require.Len(t, listed, 3)
+	c.d.SetMachines(c.clock.Now(), listed)
+	c.decide()
+	require.Equal(t, 1, c.machines.MaxDown(), "another machine was taken down")
+	c.run(30 * time.Second)
+	require.Equal(t, 4, c.machines.Upkeeps(1))
+	require.Equal(t, 1, c.machines.MaxDown())
+}
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -259,7 +259,7 @@
 }
 
 // countDown counts the machines of a wave that are or may be down for upkeep and are not
-// evacuating.
+// evacuating. One that a list omits may be down.
 func (e *Evacuator) countDown(w *wave) int {
 	count := 0
 	for _, id := range w.Machines {
@@ -267,7 +267,8 @@
 		_, isEvacuating := w.evacuatingSince[id]
 		// A list that was requested before the upkeep started shows the state before it.
 		isListOld := !w.startedAt[id].IsZero() && !e.listedAt.After(w.startedAt[id])
-		isDown := e.machines[id].State == describer.MachineInUpkeep || isListOld
+		machine, isListed := e.machines[id]
+		isDown := machine.State == describer.MachineInUpkeep || isListOld || !isListed && !e.isGone(id)
 		if !isEvacuating && (isOrdered || isDown) {
 			count++
 		}
