Remember a start without a reply whose run is resolved

What callers would see: two runs of a task at once. A worker restarts while a start to it is in flight; its second life acknowledges the stop, so that the run is resolved and the task starts elsewhere. Half a second after it was sent the start has no reply, and as its run was gone, it was forgotten. If the worker restarts once more, the third life has seen no stop and carries out the start if it arrives late.

Evidence: found by reading, not in the record.

--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -264,8 +264,8 @@
 }
 
 // RecordLostStart records that the start of a run got no reply. Of very many the oldest are forgotten.
-func (w *Worker) RecordLostStart(r *tasker.Run, now time.Time) {
-	w.lostStarts = append(w.LostStarts(now), LostStart{Ref: r.Ref, Number: r.Number, Charge: r.Charge, SentAt: r.SentAt})
+func (w *Worker) RecordLostStart(start LostStart) {
+	w.lostStarts = append(w.lostStarts, start)
 	w.lostStarts = w.lostStarts[max(len(w.lostStarts)-maxRuns, 0):]
 }
 
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -42,6 +42,10 @@
 		w.StartEnded()
 	}
 	if r == nil {
+		if w != nil && verdict == orderer.Unknown {
+			// The run is resolved in a later incarnation, but the start may reach the one after that.
+			w.RecordLostStart(monitor.LostStart{Ref: start.Task, Number: start.Run, Charge: s.chargeOf(w, start.Task), SentAt: now})
+		}
 		return
 	}
 	if verdict != orderer.Accepted {
@@ -55,7 +59,7 @@
 	case orderer.Unknown:
 		if r.ConfirmedAt.IsZero() {
 			w.HasUnconfirmedStart = true
-			w.RecordLostStart(r, now)
+			w.RecordLostStart(monitor.LostStart{Ref: r.Ref, Number: r.Number, Charge: r.Charge, SentAt: r.SentAt})
 			s.Stop(r)
 		}
 	case orderer.Fenced:
