Allow for deadlines that reach the next life of a worker

What callers would see: two runs of a task at once. A poll without a reply reaches the worker's next life up to 12 s later. Its deadline is a time on the former clock, so that it gives this life the longest lease. If the worker is cut off then, the holder takes its runs for lost while they go on for up to 2.5 s.

The holder allowed for the longest lease of a worker that has restarted, but only from the time at which it learned of the restart.

Now polls and starts with a deadline that get no reply are known, and the lease of a worker that has restarted since counts as the longest until none of them can arrive any more. The roster says so for as long, so that a successor allows for it, too.

The hosts' clocks play no new part; that nothing arrives after 12 s remains an assumption, as the protocol only says "seconds later".

Starts name the time at which they were sent; the record of a start without a reply whose run is resolved uses it as well.

--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -39,8 +39,8 @@
 	// maxStartsInFlight bounds the starts without a verdict, as more than the connections to a worker can
 	// carry would wait for one until they time out.
 	maxStartsInFlight = 24
-	// maxLateness is how long after it was sent a call without a reply may be carried out.
-	maxLateness = 12 * time.Second
+	// MaxLateness is how long after it was sent a call without a reply may be carried out.
+	MaxLateness = 12 * time.Second
 	// maxRuns bounds the runs on a worker, which lists all of them in each reply to a poll.
 	maxRuns = 1024
 	// maxStartTimeout is the upper bound of the timeout of a start.
@@ -131,6 +131,9 @@
 	// lostAcknowledgementAt is when the newest poll to the current incarnation was sent that acknowledges results and
 	// got no reply. mayDiscardUntil is until when such a poll to a former incarnation may arrive.
 	lostAcknowledgementAt, mayDiscardUntil time.Time
+	// lostDeadlineAt is when the newest call to the current incarnation was sent that has a deadline and got no reply.
+	// lateDeadlineUntil is until when such a call to a former incarnation may arrive.
+	lostDeadlineAt, lateDeadlineUntil time.Time
 	// lostStarts are the starts without a reply that may still be carried out, the oldest first.
 	lostStarts []LostStart
 	// startsInFlight counts the starts without a verdict so far.
@@ -246,6 +249,8 @@
 	w.stalePolls = w.pollsInFlight
 	w.expectAcknowledgement(w.lostAcknowledgementAt)
 	w.lostAcknowledgementAt = time.Time{}
+	w.expectDeadline(w.lostDeadlineAt)
+	w.lostDeadlineAt = time.Time{}
 	w.Results, w.Breaker, w.Pacer = acknowledger.ResultTracker{}, breaker.Breaker{}, pacer.Pacer{}
 }
 
@@ -271,7 +276,7 @@
 
 // LostStarts returns the starts without a reply that may still be carried out.
 func (w *Worker) LostStarts(now time.Time) []LostStart {
-	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return now.Sub(s.SentAt) >= maxLateness })
+	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return now.Sub(s.SentAt) >= MaxLateness })
 	return w.lostStarts
 }
 
@@ -300,12 +305,17 @@
 // MayGetLateCalls reports whether calls without a reply may still be carried out that matter to a later incarnation:
 // starts, and polls that acknowledge results.
 func (w *Worker) MayGetLateCalls(now time.Time) bool {
-	isAwaited := !w.lostAcknowledgementAt.IsZero() && now.Sub(w.lostAcknowledgementAt) < maxLateness
+	isAwaited := !w.lostAcknowledgementAt.IsZero() && now.Sub(w.lostAcknowledgementAt) < MaxLateness
 	return isAwaited || now.Before(w.mayDiscardUntil) || len(w.LostStarts(now)) > 0
 }
 
-// BeginLongestLease records until when the worker may have the longest lease.
-func (w *Worker) BeginLongestLease(until time.Time) { w.longestLeaseUntil = until }
+// BeginLongestLease records until when the worker may have the longest lease. An earlier time than the known one changes
+// nothing.
+func (w *Worker) BeginLongestLease(until time.Time) {
+	if until.After(w.longestLeaseUntil) {
+		w.longestLeaseUntil = until
+	}
+}
 
 // HasLongestLease reports whether the worker may have the longest lease.
 func (w *Worker) HasLongestLease() bool { return !w.longestLeaseUntil.IsZero() }
@@ -330,11 +340,32 @@
 
 // expectAcknowledgement records that a poll to a former incarnation may still arrive.
 func (w *Worker) expectAcknowledgement(sentAt time.Time) {
-	if until := sentAt.Add(maxLateness); until.After(w.mayDiscardUntil) {
+	if until := sentAt.Add(MaxLateness); until.After(w.mayDiscardUntil) {
 		w.mayDiscardUntil = until
 	}
 }
 
+// DeadlineLost records that a call with a deadline got no reply. It may still arrive.
+func (w *Worker) DeadlineLost(sentAt time.Time) {
+	switch {
+	case !sentAt.After(w.IncarnationAt):
+		w.expectDeadline(sentAt)
+	case sentAt.After(w.lostDeadlineAt):
+		w.lostDeadlineAt = sentAt
+	}
+}
+
+// expectDeadline records that a deadline on the clock of a former incarnation may still arrive.
+func (w *Worker) expectDeadline(sentAt time.Time) {
+	if until := sentAt.Add(MaxLateness); until.After(w.lateDeadlineUntil) {
+		w.lateDeadlineUntil = until
+	}
+}
+
+// LateDeadlineUntil returns until when a deadline on the clock of a former incarnation may arrive, which lies far ahead
+// of that of the current one and gives it the longest lease.
+func (w *Worker) LateDeadlineUntil() time.Time { return w.lateDeadlineUntil }
+
 // PollSent records that a poll is in flight.
 func (w *Worker) PollSent() { w.pollsInFlight++ }
 
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -71,6 +71,8 @@
 	Ticket     string
 	// Timeout is how long to wait for the reply; after it the verdict is Unknown.
 	Timeout time.Duration
+	// SentAt is when this host sent the order.
+	SentAt time.Time
 }
 
 // Stop orders a worker to end a run and to refuse a start of it that arrives later.
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -40,11 +40,14 @@
 	w, r := s.RunAt(start.Worker.ID, start.Task, start.Run)
 	if w != nil {
 		w.StartEnded()
+		if verdict == orderer.Unknown {
+			w.DeadlineLost(start.SentAt)
+		}
 	}
 	if r == nil {
 		if w != nil && verdict == orderer.Unknown {
 			// The run is resolved in a later incarnation, but the start may reach the one after that.
-			w.RecordLostStart(monitor.LostStart{Ref: start.Task, Number: start.Run, Charge: s.chargeOf(w, start.Task), SentAt: now})
+			w.RecordLostStart(monitor.LostStart{Ref: start.Task, Number: start.Run, Charge: s.chargeOf(w, start.Task), SentAt: start.SentAt})
 		}
 		return
 	}
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -34,6 +34,9 @@
 	// The entry of another writer may name a wrong address, whose silence says nothing about the worker.
 	isItsAddress := !w.RepliedFrom.IsValid() || w.RepliedFrom == poll.Worker.Address
 	w.PollEnded(poll.Incarnation)
+	if verdict == orderer.Unknown && poll.Deadline > 0 {
+		w.DeadlineLost(poll.SentAt)
+	}
 	switch {
 	case poll.Acknowledged == 0:
 	case verdict == orderer.Unknown:
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -112,7 +112,7 @@
 // expectLongestLease allows for the longest lease that a worker accepts, which it took from a former holder as it had
 // just begun: deadlines on the clock of its former incarnation lie far ahead of its own.
 func (wt *Watcher) expectLongestLease(w *monitor.Worker) {
-	w.Lease.Cover(wt.FormerSeenAt.Add(wt.Options.FormerAuthority), wt.Options.MaxLease)
+	w.Lease.Cover(wt.FormerSeenAt.Add(max(wt.Options.FormerAuthority, monitor.MaxLateness)), wt.Options.MaxLease)
 }
 
 // removeExpired removes the workers that are not listed, have no runs and no valid lease, and that no late call can reach.
@@ -154,6 +154,7 @@
 	if !isGone && w.IsGone(wt.Now, wt.Now) || w.MayHaveUnknownRuns(wt.Claim.ConfirmedAt()) && !w.MayHaveUnknownRuns(wt.Now) {
 		wt.RequestConfirmation()
 	}
+	wt.expectLateDeadline(w)
 	if w.EndLongestLease(wt.Now) {
 		wt.Persister.MarkRosterChanged()
 	}
@@ -171,6 +172,20 @@
 	}
 }
 
+// expectLateDeadline allows for the longest lease of a worker that has restarted while a call with a deadline may still
+// arrive that was meant for its former incarnation.
+func (wt *Watcher) expectLateDeadline(w *monitor.Worker) {
+	until := w.LateDeadlineUntil()
+	if !until.After(wt.Now) {
+		return
+	}
+	if !w.HasLongestLease() {
+		wt.Persister.MarkRosterChanged()
+	}
+	w.Lease.Cover(until, wt.Options.MaxLease)
+	w.BeginLongestLease(until.Add(leaser.ExpiryOf(wt.Options.MaxLease)))
+}
+
 // trackResponses updates whether a worker is unresponsive. The runs of an unresponsive worker
 // are persisted with the progress of their jobs, so that a later holder knows that there are no
 // others. A worker that replies again gets tasks once a roster that lists it as responsive is
