Complete a wave only when the platform says that a machine is gone

Two lists in a row without the machine were enough.

The platform replies 400 to the upkeep of a machine that does not exist: that is evidence.

Now a machine that two lists omit is evacuated like the others, by its last known worker, and its upkeep is ordered. A 400 ends that, as before; 200 means that it existed and gets its upkeep. If the platform is busy with it, two more lists have to omit it before the next order. The cost is one order for each machine that is gone, within the limit of the wave. A machine that no list of this holder ever had is not evacuated first: its worker is not known.

Before, TestMachineThatListsOmitGetsItsUpkeep saw the wave completed with one upkeep of two; now both machines have theirs, and no task is cut off.

--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,8 @@
 	ticks    int
 	// emptyLists is how many of the next lists of machines omit all of them.
 	emptyLists int
+	// omitted is a machine that all lists of machines omit, although it exists.
+	omitted string
 	// options are the settings of the next holder.
 	options dispatcher.Options
 	// maxResults is how many results of ended runs a worker lists at a time; 0 lists all.
@@ -166,6 +169,7 @@
 			c.emptyLists--
 			machines = nil
 		}
+		machines = slices.DeleteFunc(machines, func(m describer.Machine) bool { return m.ID == c.omitted })
 		c.d.SetMachines(c.clock.Now(), machines)
 	}
 	c.decide()
--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -269,3 +269,31 @@
 	require.Equal(t, 4, c.machines.Upkeeps(1))
 	require.Equal(t, 1, c.machines.MaxDown())
 }
+
+// TestMachineThatListsOmitGetsItsUpkeep guards against a wave that is reported as completed although a machine of it, which lists
+// omit, has not had its upkeep, and against an upkeep there that does not wait for running tasks.
+func TestMachineThatListsOmitGetsItsUpkeep(t *testing.T) {
+	c, wave := newWave(t, 2, 2)
+	c.run(2 * time.Second)
+	for _, id := range []string{"w-0", "w-1"} {
+		c.fleet.Update(id, func(w *fencer.Worker) { w.Slowness = 8 })
+	}
+	c.submit("a", describer.Queue{}, tasks(8))
+	c.run(5 * tickInterval)
+	require.Len(t, c.fleet.Running("w-1"), 4)
+	c.d.SetWave(c.clock.Now(), wave)
+	for range 1000 {
+		c.run(tickInterval)
+		if c.ticks > 160 {
+			c.omitted = wave.Machines[1]
+		}
+		if slices.Contains(c.machines.Reports(), orderer.WaveReport{Wave: 1, IsCompleted: true}) {
+			break
+		}
+	}
+	require.Contains(t, c.machines.Reports(), orderer.WaveReport{Wave: 1, IsCompleted: true})
+	require.Equal(t, 2, c.machines.Upkeeps(1), "the wave was reported as completed")
+	require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+	require.Len(t, c.starts, 8, "an upkeep has ended a task")
+	c.requireInvariants()
+}
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -59,6 +59,8 @@
 	// missingSince are the machines of waves that the current list omits, with the time when the first list
 	// without them was requested.
 	missingSince map[string]time.Time
+	// lastWorkers are the workers of all machines in the newest lists that have them.
+	lastWorkers map[string]string
 	// departures are the machines whose upkeep has started and for which no later list was read yet.
 	departures map[string]departure
 }
@@ -92,7 +94,10 @@
 
 // New returns an evacuator without waves.
 func New(r *registrar.Registrar, s *reconciler.Reconciler) *Evacuator {
-	return &Evacuator{Registrar: r, reconciler: s, waves: make(map[int64]*wave), departures: make(map[string]departure), missingSince: make(map[string]time.Time)}
+	return &Evacuator{
+		Registrar: r, reconciler: s, waves: make(map[int64]*wave), departures: make(map[string]departure),
+		missingSince: make(map[string]time.Time), lastWorkers: make(map[string]string),
+	}
 }
 
 // SetWave adds a wave with the progress that is persisted for it. A wave with a known number is
@@ -133,6 +138,7 @@
 	e.machines = make(map[string]describer.Machine, len(machines))
 	for _, m := range machines {
 		e.machines[m.ID] = m
+		e.lastWorkers[m.ID] = m.Worker
 	}
 	e.recordMissing()
 	e.resolveDepartures()
@@ -151,8 +157,8 @@
 	}
 }
 
-// isGone reports whether a machine no longer exists: two lists in a row omit it. A list is read in pages, so
-// a single one may omit a machine that exists.
+// isGone reports whether a machine seems to be gone: two lists in a row omit it. A list is read in pages, so
+// a single one may omit a machine that exists. Only the platform's refusal of its upkeep shows that it no longer exists.
 func (e *Evacuator) isGone(id string) bool {
 	since, isMissing := e.missingSince[id]
 	return isMissing && e.listedAt.After(since)
@@ -234,7 +240,7 @@
 // isPending reports whether a machine of a wave still needs its upkeep.
 func (e *Evacuator) isPending(w *wave, id string) bool {
 	_, isListed := e.machines[id]
-	return isListed && !w.done[id]
+	return (isListed || e.isGone(id)) && !w.done[id]
 }
 
 // selectMachines starts the evacuation of as many machines as may go down, those with the least
@@ -244,7 +250,7 @@
 	var candidates []string
 	for _, id := range w.Machines {
 		_, isEvacuating := w.evacuatingSince[id]
-		if e.isPending(w, id) && !isEvacuating && e.machines[id].State == describer.MachineUp {
+		if e.isPending(w, id) && !isEvacuating && (e.machines[id].State == describer.MachineUp || e.isGone(id)) {
 			candidates = append(candidates, id)
 		}
 	}
@@ -276,9 +282,9 @@
 	return count
 }
 
-// workerOf returns the worker that currently runs on a machine, or nil if there is none.
+// workerOf returns the worker that runs on a machine as far as is known, or nil if there is none.
 func (e *Evacuator) workerOf(id string) *monitor.Worker {
-	return e.Workers[e.machines[id].Worker]
+	return e.Workers[e.lastWorkers[id]]
 }
 
 // cpuUsed returns the CPU capacity charged to the runs on a machine, in thousandths of a core.
@@ -355,7 +361,7 @@
 	}
 	for _, w := range e.waves {
 		for id := range w.orderedAt {
-			if e.machines[id].Worker == worker {
+			if e.lastWorkers[id] == worker {
 				return true
 			}
 		}
@@ -388,6 +394,9 @@
 		e.IsFenced = true
 	case orderer.UpkeepBusy:
 		delete(w.orderedAt, order.Machine)
+		if _, isMissing := e.missingSince[order.Machine]; isMissing {
+			e.missingSince[order.Machine] = e.listedAt
+		}
 		e.cancel(w, order.Machine)
 	case orderer.UpkeepInvalid:
 		delete(w.orderedAt, order.Machine)
@@ -411,7 +420,7 @@
 
 // reportProgress orders a report to the operators when a wave has started or is completed.
 func (e *Evacuator) reportProgress(w *wave) {
-	isCompleted := !slices.ContainsFunc(w.Machines, func(id string) bool { return !w.done[id] && !e.isGone(id) })
+	isCompleted := !slices.ContainsFunc(w.Machines, func(id string) bool { return !w.done[id] })
 	next := orderer.WaveReport{Wave: w.Number, IsCompleted: isCompleted}
 	isBackingOff := w.lastReport == nil && e.Now.Sub(w.reportFailedAt) < retryPause
 	if !isBackingOff && (w.lastReport == nil || *w.lastReport != next) {
