--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -32,6 +32,9 @@
 	}
 	isBeforeIncarnation := !poll.SentAt.After(w.IncarnationAt)
 	w.PollEnded(poll.Incarnation)
+	if verdict == orderer.Unknown && poll.Deadline > 0 {
+		w.DeadlineLost(poll.SentAt)
+	}
 	switch {
 	case poll.Acknowledged == 0:
 	case verdict == orderer.Unknown:
