--- a/internal/fleet/leaser/leaser_test.go
+++ b/internal/fleet/leaser/leaser_test.go
@@ -38,3 +38,17 @@
 		require.False(t, lease.HasExpired(now.Add(5*time.Second)))
 	})
 }
+
+// TestExtendWithOldSample guards against a lease that outlasts ExpiresAt on a worker whose clock is 2% slow, as the holder
+// was paused since it sampled that clock.
+func TestExtendWithOldSample(t *testing.T) {
+	const lease = 3500 * time.Millisecond
+	for _, age := range []time.Duration{0, 2 * time.Second, 15 * time.Second, time.Minute} {
+		start := time.Unix(0, 0)
+		var l leaser.Lease
+		l.Sample(start, 0)
+		deadline := l.Extend(start.Add(age), lease)
+		lapsesAt := start.Add(deadline * 100 / 98)
+		require.False(t, lapsesAt.After(l.ExpiresAt), "sample of %v before: the lease ends %v after ExpiresAt", age, lapsesAt.Sub(l.ExpiresAt))
+	}
+}
