Show what incomplete lists and replies still do

TestMachineMissingFromListsKeepsWaveOpen: two lists without a machine complete its wave, though its worker replies. TestListThatOmitsDownedMachineSparesTasks: a list without a machine whose order has no reply lets a second one go, so that a step has two tasks down where it allows one.

--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -272,3 +273,57 @@
 		require.Zero(t, c.machines.LostRuns("a.0.0.0"), "the run must be stopped before the upkeep so that its checkpoint is kept")
 	})
 }
+
+// TestMachineMissingFromListsKeepsWaveOpen guards against a wave that is reported as completed, and a worker that gets no tasks
+// any more, as two lists omit a machine whose worker replies to polls.
+func TestMachineMissingFromListsKeepsWaveOpen(t *testing.T) {
+	c, wave := newWave(t, 2, 1)
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.Slowness = 4 })
+	c.fleet.Update("w-1", func(w *fencer.Worker) { w.Slowness = 4 })
+	c.run(4 * time.Second)
+	c.submit("a", describer.Queue{}, tasks(8))
+	c.run(4 * tickInterval)
+	c.d.SetWave(c.clock.Now(), wave)
+	c.run(12 * tickInterval)
+	require.Zero(t, c.machines.Upkeeps(1), "both machines are busy")
+	for range 2 {
+		c.d.SetMachines(c.clock.Now(), nil)
+		c.run(tickInterval)
+	}
+	for range 30 {
+		c.run(time.Second)
+		if c.machines.Upkeeps(1) < 2 {
+			require.NotContains(t, c.machines.Reports(), orderer.WaveReport{Wave: 1, IsCompleted: true})
+		}
+	}
+	require.Equal(t, 2, c.machines.Upkeeps(1))
+}
+
+// TestListThatOmitsDownedMachineSparesTasks guards against a step with more tasks down than it allows, as a list omits a machine
+// whose order for upkeep has no reply.
+func TestListThatOmitsDownedMachineSparesTasks(t *testing.T) {
+	c, wave := newWave(t, 4, 2)
+	c.submit("serves", describer.Queue{}, describer.Step{
+		Count: 4, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1, Need: describer.Resources{MilliCPU: 1000, MemoryMB: 10},
+	})
+	c.run(4 * time.Second)
+	require.Equal(t, 4, c.countRunning())
+	c.machines.LosesReplies = true
+	c.d.SetWave(c.clock.Now(), wave)
+	for range 500 {
+		if c.machines.Upkeeps(1) > 0 {
+			break
+		}
+		c.run(tickInterval)
+	}
+	require.Equal(t, 1, c.machines.Upkeeps(1))
+	require.Equal(t, 3, c.countRunning())
+	listed, err := c.machines.List(t.Context())
+	require.NoError(t, err)
+	listed = slices.DeleteFunc(listed, func(m describer.Machine) bool { return m.State == describer.MachineInUpkeep })
+	for range 8 {
+		c.d.SetMachines(c.clock.Now(), listed)
+		c.run(tickInterval)
+		require.GreaterOrEqual(t, c.countRunning(), 3)
+	}
+}
