Grant no lease beyond its expected end after a pause

What callers would see: a task that runs twice. Seen in a test only.

Cause: the deadline of a lease counted the time since the worker's clock was sampled in full.

Why it works: since the sample the clock counts as slow by the same allowance as in the end of the lease. The case "the deadline of a lease is on the worker's clock" asked for the full second since the sample; it now asks for the exact deadline of a fresh sample and of one that is a second old.

--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -46,13 +46,13 @@
 func (l *Lease) IsKnown() bool { return !l.sampledAt.IsZero() }
 
 // Extend grants a lease from now on and returns its end on the worker's clock, or 0 if that
-// clock is unknown.
+// clock is unknown. The clock counts as slow since it was sampled.
 func (l *Lease) Extend(now time.Time, lease time.Duration) time.Duration {
 	if !l.IsKnown() {
 		return 0
 	}
 	l.Cover(now, lease)
-	return clamper.Add(l.clock, clamper.Add(now.Sub(l.sampledAt), lease))
+	return clamper.Add(l.clock, clamper.Add(clamper.Scale(now.Sub(l.sampledAt), 1-maxClockDrift), lease))
 }
 
 // Cover allows for a lease of the given duration that the worker may have been granted until now.
--- a/internal/fleet/leaser/leaser_test.go
+++ b/internal/fleet/leaser/leaser_test.go
@@ -21,7 +21,8 @@
 	t.Run("the deadline of a lease is on the worker's clock", func(t *testing.T) {
 		var lease leaser.Lease
 		lease.Sample(now, 500*time.Second)
-		require.Equal(t, 503*time.Second, lease.Extend(now.Add(time.Second), 2*time.Second))
+		require.Equal(t, 502*time.Second, lease.Extend(now, 2*time.Second))
+		require.Equal(t, 502960*time.Millisecond, lease.Extend(now.Add(time.Second), 2*time.Second), "the clock may have run slow since")
 	})
 	t.Run("a lease on a clock that runs 2% slow lapses only after its deadline there", func(t *testing.T) {
 		var lease leaser.Lease
