Expect late deadlines at workers that were removed, and after an outage

What callers would see: a task that runs twice. Seen in tests only.

Cause: a poll without a reply may reach the next life of its worker and give it the longest lease. The holder forgot that when it removed the worker, whose id may come back within the 12 s; and when the loss became known while it decided nothing, since only a tick that came before the poll could arrive allowed for it.

Why it works: a worker is kept while a call with a deadline may arrive, as it was for starts and acknowledgements, and a tick allows for the lease also after the time at which the call may have arrived. A worker that falls silent is removed up to 12 s after its last poll instead of 3.9 s; it holds up nothing meanwhile, as its runs are given up when its lease has expired.

--- a/internal/fleet/dispatcher/silence_test.go
+++ b/internal/fleet/dispatcher/silence_test.go
@@ -112,3 +112,33 @@
 		})
 	}
 }
+
+// TestLatePollInLongOutageGrantsLongestLease guards against a holder that forgets a late poll, as it learned of the loss and of
+// the restart while it decided nothing.
+func TestLatePollInLongOutageGrantsLongestLease(t *testing.T) {
+	c := newCell(t, 2)
+	c.fleet.MaxLease = chaosMaxLease
+	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
+	c.claim()
+	c.run(time.Minute)
+	c.isStoreDown = true
+	c.run(9 * time.Second)
+	poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
+	poll.Wait = 0
+	require.Positive(t, poll.Deadline)
+	c.fleet.Restart("w-0", 2)
+	c.d.PollAnswered(c.clock.Now(), poll, orderer.Inventory{}, orderer.Unknown)
+	c.run(11900 * time.Millisecond)
+	_, verdict := c.inventory(poll)
+	require.Equal(t, orderer.Accepted, verdict)
+	c.run(200 * time.Millisecond)
+	c.isStoreDown = false
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.Slowness = 20 })
+	c.run(8 * tickInterval)
+	c.submit("a", describer.Queue{}, tasks(4))
+	c.run(8 * tickInterval)
+	require.NotEmpty(t, c.fleet.Running("w-0"))
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.IsUnresponsive = true })
+	c.run(10 * time.Second)
+	c.requireInvariants()
+}
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -269,10 +269,11 @@
 }
 
 // MayGetLateCalls reports whether calls without a reply may still be carried out that matter to a later incarnation:
-// starts, and polls that acknowledge results.
+// starts, calls with a deadline, and polls that acknowledge results.
 func (w *Worker) MayGetLateCalls(now time.Time) bool {
-	isAwaited := !w.lostAcknowledgementAt.IsZero() && now.Sub(w.lostAcknowledgementAt) < MaxLateness
-	return isAwaited || now.Before(w.mayDiscardUntil) || len(w.LostStarts(now)) > 0
+	isOutstanding := func(sentAt time.Time) bool { return !sentAt.IsZero() && now.Sub(sentAt) < MaxLateness }
+	isAwaited := isOutstanding(w.lostAcknowledgementAt) || isOutstanding(w.lostDeadlineAt)
+	return isAwaited || now.Before(w.mayDiscardUntil) || now.Before(w.lateDeadlineUntil) || len(w.LostStarts(now)) > 0
 }
 
 // BeginLongestLease records until when the worker may have the longest lease. An earlier time than the known one changes
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -144,11 +144,11 @@
 
 // tickWorker resolves the runs of a worker whose lease has expired, and repeats its unacknowledged stops.
 func (wt *Watcher) tickWorker(w *monitor.Worker) {
+	wt.expectLateDeadline(w)
 	hasExpired := w.HasExpired(wt.Now, wt.Claim.ConfirmedAt())
 	if !hasExpired && w.HasExpired(wt.Now, wt.Now) || w.MayHaveUnknownRuns(wt.Claim.ConfirmedAt()) && !w.MayHaveUnknownRuns(wt.Now) {
 		wt.RequestConfirmation()
 	}
-	wt.expectLateDeadline(w)
 	if w.EndLongestLease(wt.Now) {
 		wt.Persister.MarkRosterChanged()
 	}
@@ -170,14 +170,19 @@
 // arrive that was meant for its former incarnation.
 func (wt *Watcher) expectLateDeadline(w *monitor.Worker) {
 	until := w.LateDeadlineUntil()
-	if !until.After(wt.Now) {
+	if until.IsZero() {
+		return
+	}
+	// It may have arrived while nothing was decided.
+	w.Lease.Cover(until, wt.Options.MaxLease)
+	end := until.Add(leaser.ExpiryOf(wt.Options.MaxLease))
+	if !wt.Now.Before(end) {
 		return
 	}
 	if !w.HasLongestLease() {
 		wt.Persister.MarkRosterChanged()
 	}
-	w.Lease.Cover(until, wt.Options.MaxLease)
-	w.BeginLongestLease(until.Add(leaser.ExpiryOf(wt.Options.MaxLease)))
+	w.BeginLongestLease(end)
 }
 
 // trackResponses updates whether a worker is unresponsive. The runs of an unresponsive worker
