Give up a run whose stops are lost or refused once its start can't arrive

What callers would see: a task that never starts again, as its start was lost and its worker, which replies to polls and does not list the run, loses or refuses each stop. Seen in a test only. With stops that get no reply this is old; that refused stops did the same is new with the rule that only an accepted stop counts.

Why it works: the worker's own list, requested when the start could not arrive any more (12 s after its sending, as for other late calls), shows that the run is not there and won't be.

--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -123,11 +123,14 @@
 }
 
 // ApplyAbsent resolves a run that is missing in the reply to a poll, if the poll was sent after
-// the worker had acknowledged the start or the stop of the run.
+// the worker had acknowledged the start or the stop of the run, or when its start could not arrive any more.
 func (s *Reconciler) ApplyAbsent(r *tasker.Run, polledAt time.Time) {
 	switch {
 	case !r.StopAckedAt.IsZero() && polledAt.After(r.StopAckedAt):
 		s.Resolve(r)
+	case r.Stopping && polledAt.Sub(r.SentAt) >= monitor.MaxLateness:
+		s.Report("A worker does not list a run that it did not acknowledge to stop. The run is lost.", "task", r.Ref.String(), "run", r.Number, "worker", r.Worker)
+		s.Resolve(r)
 	case !r.ConfirmedAt.IsZero() && !r.Stopping && polledAt.After(r.ConfirmedAt):
 		s.Report("A worker no longer lists a run and reported no result. The run is lost.", "task", r.Ref.String(), "run", r.Number, "worker", r.Worker)
 		s.Resolve(r)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -116,6 +116,13 @@
 			w.Lease.EndNow(wt.Now)
 		}
 		wt.pollFailed(w, verdict)' $dispatcher 'TestWorkerThatRefusesConnections'
+mutant "fence: nothing is given up before its lease has ended" internal/fleet/monitor/monitor.go \
+  'return w.Lease.HasExpired(confirmedAt) && now' 'return (w.Lease.HasExpired(confirmedAt) || now.Sub(w.RepliedAt) > 2600*time.Millisecond) && now' \
+  $dispatcher 'TestTasksWaitForEndOfLease'
+mutant "fence: a worker is known while a late deadline may reach it" internal/fleet/monitor/monitor.go \
+  ' || isOutstanding(w.lostDeadlineAt)' '' $dispatcher 'TestLatePollReachesWorker'
+mutant "fence: a late deadline counts also if it came in an outage" internal/fleet/watcher/watcher.go \
+  'if until.IsZero() {' 'if !until.After(wt.Now) {' $dispatcher 'TestLatePollInLongOutage'
 mutant "fence: a missing entry does not show that a draining worker has left" internal/fleet/monitor/monitor.go \
   'return w.Lease.HasExpired(confirmedAt) && now' 'return (w.Lease.HasExpired(confirmedAt) || w.Info.Draining && !w.IsListed) && now' $dispatcher 'TestWorkerLeavesInSteps'
 mutant "fence: host list entry and replies are of one incarnation" internal/fleet/monitor/monitor.go \
