--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -272,3 +273,110 @@
 		require.Zero(t, c.machines.LostRuns("a.0.0.0"), "the run must be stopped before the upkeep so that its checkpoint is kept")
 	})
 }
+
+// TestMachineMissingFromListCountsAsDown guards against a wave that takes more machines down than it allows, as a list omits one
+// that is down.
+func TestMachineMissingFromListCountsAsDown(t *testing.T) {
+	c, wave := newWave(t, 4, 1)
+	c.d.SetWave(c.clock.Now(), wave)
+	for range 500 {
+		if c.machines.MaxDown() > 0 {
+			break
+		}
+		c.run(tickInterval)
+	}
+	require.Equal(t, 1, c.machines.MaxDown())
+	c.clock.Advance(tickInterval)
+	listed, err := c.machines.List(t.Context())
+	require.NoError(t, err)
+	listed = slices.DeleteFunc(listed, func(m describer.Machine) bool { return m.State == describer.MachineInUpkeep })
+	require.Len(t, listed, 3)
+	c.d.SetMachines(c.clock.Now(), listed)
+	c.decide()
+	require.Equal(t, 1, c.machines.MaxDown(), "another machine was taken down")
+	c.run(30 * time.Second)
+	require.Equal(t, 4, c.machines.Upkeeps(1))
+	require.Equal(t, 1, c.machines.MaxDown())
+}
+
+// TestMachineThatListsOmitGetsItsUpkeep guards against a wave that is reported as completed although a machine of it, which lists
+// omit, has not had its upkeep, and against an upkeep there that does not wait for running tasks.
+func TestMachineThatListsOmitGetsItsUpkeep(t *testing.T) {
+	c, wave := newWave(t, 2, 2)
+	c.run(2 * time.Second)
+	for _, id := range []string{"w-0", "w-1"} {
+		c.fleet.Update(id, func(w *fencer.Worker) { w.Slowness = 8 })
+	}
+	c.submit("a", describer.Queue{}, tasks(8))
+	c.run(5 * tickInterval)
+	require.Len(t, c.fleet.Running("w-1"), 4)
+	c.d.SetWave(c.clock.Now(), wave)
+	for range 1000 {
+		c.run(tickInterval)
+		if c.ticks > 160 {
+			c.omitted = wave.Machines[1]
+		}
+		if slices.Contains(c.machines.Reports(), orderer.WaveReport{Wave: 1, IsCompleted: true}) {
+			break
+		}
+	}
+	require.Contains(t, c.machines.Reports(), orderer.WaveReport{Wave: 1, IsCompleted: true})
+	require.Equal(t, 2, c.machines.Upkeeps(1), "the wave was reported as completed")
+	require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+	require.Len(t, c.starts, 8, "an upkeep has ended a task")
+	c.requireInvariants()
+}
+
+// TestMachineMissingFromListsKeepsWaveOpen guards against a wave that is reported as completed, and a worker that gets no tasks
+// any more, as two lists omit a machine whose worker replies to polls.
+func TestMachineMissingFromListsKeepsWaveOpen(t *testing.T) {
+	c, wave := newWave(t, 2, 1)
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.Slowness = 4 })
+	c.fleet.Update("w-1", func(w *fencer.Worker) { w.Slowness = 4 })
+	c.run(4 * time.Second)
+	c.submit("a", describer.Queue{}, tasks(8))
+	c.run(4 * tickInterval)
+	c.d.SetWave(c.clock.Now(), wave)
+	c.run(12 * tickInterval)
+	require.Zero(t, c.machines.Upkeeps(1), "both machines are busy")
+	for range 2 {
+		c.d.SetMachines(c.clock.Now(), nil)
+		c.run(tickInterval)
+	}
+	for range 30 {
+		c.run(time.Second)
+		if c.machines.Upkeeps(1) < 2 {
+			require.NotContains(t, c.machines.Reports(), orderer.WaveReport{Wave: 1, IsCompleted: true})
+		}
+	}
+	require.Equal(t, 2, c.machines.Upkeeps(1))
+}
+
+// TestListThatOmitsDownedMachineSparesTasks guards against a step with more tasks down than it allows, as a list omits a machine
+// whose order for upkeep has no reply.
+func TestListThatOmitsDownedMachineSparesTasks(t *testing.T) {
+	c, wave := newWave(t, 4, 2)
+	c.submit("serves", describer.Queue{}, describer.Step{
+		Count: 4, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1, Need: describer.Resources{MilliCPU: 1000, MemoryMB: 10},
+	})
+	c.run(4 * time.Second)
+	require.Equal(t, 4, c.countRunning())
+	c.machines.LosesReplies = true
+	c.d.SetWave(c.clock.Now(), wave)
+	for range 500 {
+		if c.machines.Upkeeps(1) > 0 {
+			break
+		}
+		c.run(tickInterval)
+	}
+	require.Equal(t, 1, c.machines.Upkeeps(1))
+	require.Equal(t, 3, c.countRunning())
+	listed, err := c.machines.List(t.Context())
+	require.NoError(t, err)
+	listed = slices.DeleteFunc(listed, func(m describer.Machine) bool { return m.State == describer.MachineInUpkeep })
+	for range 8 {
+		c.d.SetMachines(c.clock.Now(), listed)
+		c.run(tickInterval)
+		require.GreaterOrEqual(t, c.countRunning(), 3)
+	}
+}
