--- a/internal/fleet/dispatcher/silence_test.go
+++ b/internal/fleet/dispatcher/silence_test.go
@@ -112,3 +112,62 @@
 		})
 	}
 }
+
+// TestStopThatIsNotAcknowledgedHoldsTask guards against a task that starts elsewhere while its lost start may still arrive, as a
+// stop of it got another reply than that of a worker which will refuse the start.
+func TestStopThatIsNotAcknowledgedHoldsTask(t *testing.T) {
+	for _, verdict := range []orderer.Verdict{
+		orderer.Unknown, orderer.Lapsed, orderer.NoRoom, orderer.BadTicket, orderer.Invalid, orderer.Unhealthy,
+		orderer.OtherIncarnation, orderer.NotSent, orderer.NoListener,
+	} {
+		t.Run(verdict.String(), func(t *testing.T) {
+			c := newCell(t, 2)
+			c.run(leaseOfFormerHolder)
+			c.submit("a", describer.Queue{}, tasks(1))
+			c.save()
+			c.d.Tick(c.clock.Now())
+			start := c.d.TakeOrders()[0].(orderer.Start)
+			c.d.StartAnswered(c.clock.Now(), start, orderer.Unknown)
+			for _, order := range c.d.TakeOrders() {
+				c.d.StopAnswered(c.clock.Now(), order.(orderer.Stop), verdict)
+			}
+			c.clock.Advance(tickInterval)
+			c.run(4 * tickInterval)
+			require.Zero(t, c.fleet.Starts("a.0.0.0"))
+			c.fleet.Start(t.Context(), start)
+			c.run(4 * runTime)
+			require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+			c.requireInvariants()
+		})
+	}
+}
+
+// TestLatePollInLongOutageGrantsLongestLease guards against a holder that forgets a late poll, as it learned of the loss and of
+// the restart while it decided nothing.
+func TestLatePollInLongOutageGrantsLongestLease(t *testing.T) {
+	c := newCell(t, 2)
+	c.fleet.MaxLease = chaosMaxLease
+	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
+	c.claim()
+	c.run(time.Minute)
+	c.isStoreDown = true
+	c.run(9 * time.Second)
+	poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
+	poll.Wait = 0
+	require.Positive(t, poll.Deadline)
+	c.fleet.Restart("w-0", 2)
+	c.d.PollAnswered(c.clock.Now(), poll, orderer.Inventory{}, orderer.Unknown)
+	c.run(11900 * time.Millisecond)
+	_, verdict := c.inventory(poll)
+	require.Equal(t, orderer.Accepted, verdict)
+	c.run(200 * time.Millisecond)
+	c.isStoreDown = false
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.Slowness = 20 })
+	c.run(8 * tickInterval)
+	c.submit("a", describer.Queue{}, tasks(4))
+	c.run(8 * tickInterval)
+	require.NotEmpty(t, c.fleet.Running("w-0"))
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.IsUnresponsive = true })
+	c.run(10 * time.Second)
+	c.requireInvariants()
+}
--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -327,3 +327,31 @@
 		require.GreaterOrEqual(t, c.countRunning(), 3)
 	}
 }
+
+// TestListOfUpkeepEndsNoRunOfNextLife guards against tasks that start again while they run, as a list shows the upkeep of a machine
+// whose worker has started again under its id since.
+func TestListOfUpkeepEndsNoRunOfNextLife(t *testing.T) {
+	c, wave := newWave(t, 3, 1)
+	wave.Machines = wave.Machines[:1]
+	c.run(7 * time.Second)
+	c.d.SetWave(c.clock.Now(), wave)
+	for len(c.state.Waves[1].Done) == 0 {
+		c.run(tickInterval)
+	}
+	c.clock.Advance(tickInterval)
+	requestedAt := c.clock.Now()
+	listed, err := c.machines.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, describer.MachineInUpkeep, listed[0].State)
+	c.fleet.Restart("w-0", 2)
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.IsUnresponsive = false })
+	c.ticks = 1
+	c.submit("a", describer.Queue{}, longRunning(8))
+	c.run(6 * tickInterval)
+	require.NotEmpty(t, c.fleet.Running("w-0"))
+	c.d.SetMachines(requestedAt, listed)
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.IsUnresponsive = true })
+	c.run(runTime)
+	require.Len(t, c.starts, 8, "tasks of the next life started again")
+	c.requireInvariants()
+}
