--- a/internal/fleet/dispatcher/silence_test.go
+++ b/internal/fleet/dispatcher/silence_test.go
@@ -142,3 +142,32 @@
 	c.run(10 * time.Second)
 	c.requireInvariants()
 }
+
+// TestStopThatIsNotAcknowledgedHoldsTask guards against a task that starts elsewhere while its lost start may still arrive, as a
+// stop of it got another reply than that of a worker which will refuse the start.
+func TestStopThatIsNotAcknowledgedHoldsTask(t *testing.T) {
+	for _, verdict := range []orderer.Verdict{
+		orderer.Unknown, orderer.Lapsed, orderer.NoRoom, orderer.BadTicket, orderer.Invalid, orderer.Unhealthy,
+		orderer.OtherIncarnation, orderer.NotSent, orderer.NoListener,
+	} {
+		t.Run(verdict.String(), func(t *testing.T) {
+			c := newCell(t, 2)
+			c.run(leaseOfFormerHolder)
+			c.submit("a", describer.Queue{}, tasks(1))
+			c.save()
+			c.d.Tick(c.clock.Now())
+			start := c.d.TakeOrders()[0].(orderer.Start)
+			c.d.StartAnswered(c.clock.Now(), start, orderer.Unknown)
+			for _, order := range c.d.TakeOrders() {
+				c.d.StopAnswered(c.clock.Now(), order.(orderer.Stop), verdict)
+			}
+			c.clock.Advance(tickInterval)
+			c.run(4 * tickInterval)
+			require.Zero(t, c.fleet.Starts("a.0.0.0"))
+			c.fleet.Start(t.Context(), start)
+			c.run(4 * runTime)
+			require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+			c.requireInvariants()
+		})
+	}
+}
