--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -190,9 +190,9 @@
 	return d.registrar.Claim.MayOrderUnfenced(now)
 }
 
-// Tick runs the periodic work: it removes runs whose workers have left or whose leases have
-// expired, repeats unacknowledged stops, evacuates machines, places tasks and removes ended
-// jobs. It decides nothing while the claim is not confirmed.
+// Tick runs the periodic work: it removes runs whose leases have expired, repeats unacknowledged
+// stops, evacuates machines, places tasks and removes ended jobs. It decides nothing while the claim
+// is not confirmed.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.registrar.Now = now
 	if !d.observeAuthority() {
--- a/internal/fleet/dispatcher/reports_test.go
+++ b/internal/fleet/dispatcher/reports_test.go
@@ -34,7 +34,7 @@
 
 	c.listed = c.fleet.Workers()[1:]
 	c.run(2 * tickInterval)
-	require.Contains(t, take(), fmt.Sprintf("no entry of a worker any more. [worker w-0 runs %d is_listed false is_draining true", runs))
+	require.Contains(t, take(), fmt.Sprintf("no entry of a worker. [worker w-0 runs %d is_listed false is_draining true", runs))
 	c.listed = nil
 	c.run(2 * tickInterval)
 	require.Contains(t, take(), fmt.Sprintf("entry of a worker again. [worker w-0 runs %d is_listed true is_draining true", runs))
--- a/internal/fleet/watcher/report.go
+++ b/internal/fleet/watcher/report.go
@@ -15,7 +15,7 @@
 		case !w.IsListed && !w.IsReportedMissing:
 			// A refusal before the entry vanished says nothing about the time after it.
 			w.IsReportedMissing, w.IsReportedRefused = true, false
-			wt.Report("The host list has no entry of a worker any more.", contactOf(w)...)
+			wt.Report("The host list has no entry of a worker.", contactOf(w)...)
 		}
 	}
 }
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	wt := detector.New(r, reconciler, throttler)
+//	wt := watcher.New(r, reconciler, throttler)
 //	wt.SetWorkers(now, listed)
 //	poll, isKnown := wt.NextPoll(now, id)
 //	wt.PollAnswered(now, poll, inventory, verdict)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -116,6 +116,11 @@
 			w.Lease.EndNow(wt.Now)
 		}
 		wt.pollFailed(w, verdict)' $dispatcher 'TestWorkerThatRefusesConnections'
+mutant "fence: only an accepted stop counts as acknowledged" internal/fleet/reconciler/order.go \
+  'case orderer.Accepted, orderer.Superseded:' 'case orderer.Accepted, orderer.Superseded, orderer.Lapsed, orderer.Unhealthy, orderer.NoListener:' \
+  $dispatcher 'TestStopThatIsNotAcknowledged'
+mutant "fence: a list of machines ends no run of the worker's next incarnation" internal/fleet/evacuator/evacuator.go \
+  ' || worker.Incarnation != d.incarnation' '' $dispatcher 'TestListOfUpkeepEndsNoRun'
 mutant "fence: nothing is given up before its lease has ended" internal/fleet/monitor/monitor.go \
   'return w.Lease.HasExpired(confirmedAt) && now' 'return (w.Lease.HasExpired(confirmedAt) || now.Sub(w.RepliedAt) > 2600*time.Millisecond) && now' \
   $dispatcher 'TestTasksWaitForEndOfLease'
