--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -134,6 +134,17 @@
 	w.runs, w.highestRuns = make(map[string]*run), make(map[string]int64)
 }
 
+// EndRuns ends all runs of a worker as failed, as a process does that ends its runs before itself.
+func (f *Fleet) EndRuns(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	f.updateRuns(w)
+	for _, name := range sorter.Keys(w.runs) {
+		f.endRun(w, name, w.runs[name], orderer.EndFailed, f.clock.Now())
+	}
+}
+
 // Update changes a worker: it locks the fleet and calls change with the worker.
 func (f *Fleet) Update(id string, change func(w *Worker)) {
 	f.mu.Lock()
--- a/internal/standin/fencer/fencer_test.go
+++ b/internal/standin/fencer/fencer_test.go
@@ -104,3 +104,16 @@
 		f.requireKinds()
 	})
 }
+
+// TestEndRuns guards against a worker that ends its runs before itself, but still lists them or omits their results.
+func TestEndRuns(t *testing.T) {
+	f := newFleet(t)
+	f.start("w-1", 1, runTime)
+	f.EndRuns("w-1")
+	require.Empty(t, f.Running("w-1"))
+	inventory, verdict := f.Poll(context.Background(), orderer.Poll{Worker: describer.Worker{ID: "w-1"}, Token: 7})
+	require.Equal(t, orderer.Accepted, verdict)
+	require.Equal(t, []orderer.RunResult{{Number: 1, Task: task, Run: 1, Kind: orderer.EndFailed}}, inventory.Results)
+	f.start("w-2", 2, runTime)
+	f.requireKinds()
+}
