Let workers refuse connections and leave in steps in simulated time

TestNoTaskRunsTwice and TestNoTaskRunsTwiceInSplitCell had no living worker whose address refuses connections, and workers left in one step.

Two kinds of fault are added. The address of a worker, draining or not, listed or not, refuses all connections or those of the holder for 0.05 to 5 s while its runs go on. A draining worker loses its entry, its listener and its runs in any order, with pauses of up to 7 s, longer than a lease; its address may then belong to another worker.

Overlapping reasons to refuse are now counted, so that the end of a restart no longer brings back a worker that has left: its process has ended, and its id is not used again.

--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -56,11 +56,16 @@
 	workerLeaves
 	storeDown
 	takeOver
+	// workerRefuses makes the address of a living worker refuse connections, draining or not, with or without an entry.
+	workerRefuses
+	// workerLeavesInSteps drains a worker, which then loses its entry, its listener and its runs in any order.
+	workerLeavesInSteps
 	chaosFaults
 )
 
 var chaosFaultNames = [...]string{
 	"worker restarts", "worker silent", "worker cut off", "entry missing", "all entries missing", "worker leaves", "store down", "takeover",
+	"worker refuses", "worker leaves in steps",
 }
 
 // event is something that happens at a time, such as the arrival of an order or of its reply.
@@ -78,6 +83,8 @@
 	isSaving bool
 	// unreachable are the workers that this holder can't reach.
 	unreachable map[string]bool
+	// refusals count the reasons why this holder's connections to each worker are refused.
+	refusals map[string]int
 	// isCutFromStore reports that this holder can't append, and reads no entries newer than listed.
 	isCutFromStore bool
 	listed         []describer.Worker
@@ -104,6 +111,8 @@
 	begin       time.Time
 	trace       []string
 	overlaps    int
+	// refusals count the reasons why each worker's address refuses all connections.
+	refusals map[string]int
 	// lives counts the lives of each worker, and onRestart has what a restart does to the orders in flight.
 	lives     map[string]int
 	onRestart map[string][]func()
@@ -181,6 +190,10 @@
 			x.after(x.delay(), fail)
 		}
 	})
+	if a.refusals[worker] > 0 {
+		x.after(delay, func() { answer(func() { onFailure(orderer.NoListener) }) })
+		return
+	}
 	if a.unreachable[worker] || x.chance(2) {
 		return
 	}
@@ -397,7 +410,7 @@
 	x.options.FormerSeenAt = x.appendedAt
 	x.claim()
 	x.note("FAULT takeover: holder %d", x.epoch)
-	x.holder = &actor{d: x.d, epoch: x.epoch, polled: make(map[string]bool), unreachable: make(map[string]bool), seen: make(map[string]int)}
+	x.holder = &actor{d: x.d, epoch: x.epoch, polled: make(map[string]bool), unreachable: make(map[string]bool), refusals: make(map[string]int), seen: make(map[string]int)}
 	if former == nil {
 		return
 	}
@@ -460,13 +473,11 @@
 	switch fault {
 	case workerRestarts:
 		// The worker restarts under its id. It may be down for a while.
-		down := func(isDown bool) { x.fleet.Update(info.ID, func(w *fencer.Worker) { w.HasExited = isDown }) }
 		x.incarnation++
 		next := x.incarnation
 		x.restart(info.ID, next)
 		if x.chance(60) {
-			down(true)
-			x.after(x.between(chaosStep, time.Second), func() { down(false) })
+			x.refuseFor(info.ID, x.between(chaosStep, time.Second))
 		}
 		info.Incarnation = next
 		x.publish(info)
@@ -489,18 +500,105 @@
 		// The worker drains and leaves; another one joins.
 		info.Draining = true
 		x.publish(info)
-		x.after(x.between(time.Second, 4*time.Second), func() {
-			x.left[info.ID] = true
-			delete(x.entries, info.ID)
-			x.restart(info.ID, info.Incarnation)
-			x.fleet.Update(info.ID, func(w *fencer.Worker) { w.HasExited = true })
-			x.addWorker()
-		})
+		x.after(x.between(time.Second, 4*time.Second), func() { x.leave(info) })
 	case storeDown:
 		x.isStoreDown = true
 		x.after(x.between(200*time.Millisecond, 4*time.Second), func() { x.isStoreDown = false })
 	case takeOver:
 		x.takeOver()
+	case workerRefuses:
+		x.refuseAlive(info)
+	case workerLeavesInSteps:
+		info.Draining = true
+		x.publish(info)
+		x.after(x.between(500*time.Millisecond, 2*time.Second), func() { x.leaveInSteps(info) })
+	}
+}
+
+// refuse adds a reason why the address of a worker refuses connections, or takes one away.
+func (x *chaos) refuse(id string, reasons int) {
+	x.refusals[id] += reasons
+	x.fleet.Update(id, func(w *fencer.Worker) { w.HasExited = x.refusals[id] > 0 })
+}
+
+func (x *chaos) refuseFor(id string, duration time.Duration) {
+	x.refuse(id, 1)
+	x.after(duration, func() { x.refuse(id, -1) })
+}
+
+// refuseAlive makes the address of a worker refuse all connections, or those of the holder, while its runs go on. A worker
+// that drains leaves later.
+func (x *chaos) refuseAlive(info describer.Worker) {
+	delay := time.Duration(0)
+	if info.Draining = x.chance(60); info.Draining {
+		x.publish(info)
+		delay = x.between(500*time.Millisecond, 2*time.Second)
+		x.after(x.between(6*time.Second, 12*time.Second), func() { x.leave(info) })
+	}
+	x.after(delay, func() {
+		duration, a := x.between(50*time.Millisecond, 5*time.Second), x.holder
+		if x.chance(60) {
+			x.missing[info.ID] = x.clock.Now().Add(x.between(duration/2, duration+time.Second))
+		}
+		x.note("FAULT %s refuses connections for %v", info.ID, duration)
+		if x.chance(50) {
+			x.refuseFor(info.ID, duration)
+			return
+		}
+		a.refusals[info.ID]++
+		x.after(duration, func() { a.refusals[info.ID]-- })
+	})
+}
+
+// leave ends the process of a worker for good; another worker joins.
+func (x *chaos) leave(info describer.Worker) {
+	if x.left[info.ID] {
+		return
+	}
+	x.left[info.ID] = true
+	delete(x.entries, info.ID)
+	x.restart(info.ID, info.Incarnation)
+	x.refuse(info.ID, 1)
+	x.addWorker()
+}
+
+// leaveInSteps takes the entry, the listener and the runs of a worker away, in any order. Its process ends with the
+// last two; then another worker may get its address.
+func (x *chaos) leaveInSteps(info describer.Worker) {
+	if x.left[info.ID] {
+		return
+	}
+	x.left[info.ID] = true
+	delay := time.Duration(0)
+	listens, hasRuns := true, true
+	steps := []string{"entry", "listener", "runs"}
+	for _, i := range x.random.Perm(len(steps)) {
+		x.after(delay, func() {
+			x.note("FAULT %s loses its %s", info.ID, steps[i])
+			switch steps[i] {
+			case "entry":
+				delete(x.entries, info.ID)
+			case "listener":
+				listens = false
+				x.refuse(info.ID, 1)
+			case "runs":
+				hasRuns = false
+				x.fleet.EndRuns(info.ID)
+			}
+			if steps[i] != "entry" && !listens && !hasRuns {
+				x.restart(info.ID, info.Incarnation)
+			}
+		})
+		if x.chance(60) {
+			delay += x.between(0, chaosMaxLease+time.Second)
+		}
+	}
+	x.after(delay, x.addWorker)
+	if x.chance(40) {
+		x.after(delay+x.between(chaosStep, time.Second), func() {
+			x.fleet.Update(info.ID, func(w *fencer.Worker) { w.IsReplaced = true })
+			x.refuse(info.ID, -1)
+		})
 	}
 }
 
@@ -535,7 +633,8 @@
 func newChaos(t testing.TB, seed uint64) *chaos {
 	x := &chaos{
 		cell: newCell(t, 0), random: rand.New(rand.NewPCG(seed, 0)), missing: make(map[string]time.Time), left: make(map[string]bool),
-		entries: make(map[string]describer.Worker), lives: make(map[string]int), onRestart: make(map[string][]func()),
+		entries: make(map[string]describer.Worker), lives: make(map[string]int), refusals: make(map[string]int),
+		onRestart: make(map[string][]func()),
 	}
 	x.fleet = fencer.NewFleet(x.clock, func(ref describer.TaskRef) time.Duration {
 		return 200*time.Millisecond + time.Duration(len(ref.Job)*ref.Index*137%29)*100*time.Millisecond
