--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/leaser"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/standin/fencer"
 )
@@ -339,16 +340,21 @@
 		c.requireStartedOnce()
 		c.requireInvariants()
 	})
-	t.Run("a worker that drained and left delays no tasks", func(t *testing.T) {
+	t.Run("a worker that drained and left delays tasks until the authority of former holders has ended", func(t *testing.T) {
 		c := newCell(t, 2)
 		c.submit("a", describer.Queue{}, tasks(8))
 		c.run(4 * tickInterval)
 		c.fleet.Update("w-1", func(w *fencer.Worker) { w.HasExited, w.Info.Draining = true, true })
+		claimed := c.clock.Now()
 		c.claim()
 		c.run(4 * tickInterval)
 		c.listed = c.fleet.Workers()[:1]
 		c.run(4 * runTime)
+		require.NotEqual(t, describer.JobCompleted, c.stateOf("a"), "a former holder may still have renewed the lease of the worker")
+		c.run(leaser.ExpiryOf(confirmer.Authority) - c.clock.Since(claimed))
+		c.run(2*runTime + 4*tickInterval)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+		c.requireInvariants()
 	})
 	t.Run("a new holder waits for the longest lease of former holders, not for the longest that workers accept", func(t *testing.T) {
 		for former, isDone := range map[time.Duration]bool{3500 * time.Millisecond: true, 0: false} {
@@ -491,16 +497,21 @@
 	t.Run("a task whose run was lost without a result starts again only after a confirmation", func(t *testing.T) {
 		for name, lose := range map[string]func(c *cell){
 			"restarted": func(c *cell) { c.fleet.Restart("w-0", 2) },
-			"replaced":  func(c *cell) { c.fleet.Update("w-0", func(w *fencer.Worker) { w.IsReplaced = true }) },
+			"replaced": func(c *cell) {
+				c.fleet.Update("w-0", func(w *fencer.Worker) { w.IsReplaced = true })
+				c.run(leaser.ExpiryOf(usualLease))
+			},
 			"left": func(c *cell) {
 				c.fleet.Update("w-0", func(w *fencer.Worker) { w.Info.Draining = true })
 				c.run(2 * tickInterval)
 				c.fleet.Update("w-0", func(w *fencer.Worker) { w.HasExited = true })
 				c.listed = c.fleet.Workers()[1:]
+				c.run(leaser.ExpiryOf(usualLease))
 			},
 		} {
 			t.Run(name, func(t *testing.T) {
 				c := newCell(t, 1)
+				c.run(leaseOfFormerHolder)
 				step := tasks(1)
 				step.LongRunning = true
 				c.submit("a", describer.Queue{}, step)
@@ -532,6 +543,27 @@
 		c.run(time.Second)
 		require.Equal(t, 1, c.fleet.Starts("a.0.0.0"))
 	})
+	t.Run("a stop that is refused does not show that the start without a reply will be refused, too", func(t *testing.T) {
+		c := newCell(t, 2)
+		c.run(4 * tickInterval)
+		c.submit("a", describer.Queue{}, tasks(1))
+		c.save()
+		c.d.Tick(c.clock.Now())
+		orders := c.d.TakeOrders()
+		require.Len(t, orders, 1)
+		start := orders[0].(orderer.Start)
+		c.d.StartAnswered(c.clock.Now(), start, orderer.Unknown)
+		orders = c.d.TakeOrders()
+		require.Len(t, orders, 1)
+		c.d.StopAnswered(c.clock.Now(), orders[0].(orderer.Stop), orderer.Invalid)
+		c.clock.Advance(tickInterval)
+		c.run(4 * tickInterval)
+		require.Zero(t, c.fleet.Starts("a.0.0.0"))
+		c.fleet.Start(t.Context(), start)
+		c.run(4 * runTime)
+		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+		c.requireInvariants()
+	})
 	t.Run("a worker is not forgotten while a start without a reply may reach its next incarnation", func(t *testing.T) {
 		c := newCell(t, 1)
 		c.run(2 * tickInterval)
@@ -558,14 +590,17 @@
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 		c.requireInvariants()
 	})
-	t.Run("tasks of a replaced worker start elsewhere at once", func(t *testing.T) {
+	t.Run("tasks of a replaced worker start elsewhere as soon as its lease has expired", func(t *testing.T) {
 		c := newCell(t, 2)
+		c.run(leaseOfFormerHolder)
 		c.submit("a", describer.Queue{}, tasks(8))
 		c.run(4 * tickInterval)
 		c.fleet.Restart("w-1", 1)
 		c.fleet.Update("w-1", func(w *fencer.Worker) { w.IsReplaced = true })
-		c.run(3 * runTime)
+		c.run(leaser.ExpiryOf(usualLease))
+		c.run(runTime + 4*tickInterval)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+		c.requireInvariants()
 	})
 	t.Run("a restarted worker gets no tasks until the host list has its new incarnation", func(t *testing.T) {
 		c := newCell(t, 1)
@@ -707,17 +742,19 @@
 		c.requireStartedOnce()
 		c.requireInvariants()
 	})
-	t.Run("tasks of a draining worker start elsewhere at once when it leaves", func(t *testing.T) {
+	t.Run("tasks of a draining worker that leaves start elsewhere as soon as its lease has expired", func(t *testing.T) {
 		c := newCell(t, 2)
-		c.run(4 * tickInterval)
+		c.run(leaseOfFormerHolder)
 		c.submit("a", describer.Queue{}, tasks(6))
 		c.run(2 * tickInterval)
 		c.fleet.Update("w-0", func(w *fencer.Worker) { w.Info.Draining = true })
 		c.run(2 * tickInterval)
 		c.listed = c.fleet.Workers()[1:]
 		c.fleet.Update("w-0", func(w *fencer.Worker) { w.HasExited = true })
-		c.run(3 * runTime)
+		c.run(leaser.ExpiryOf(usualLease))
+		c.run(runTime + 4*tickInterval)
 		require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+		c.requireInvariants()
 	})
 	t.Run("a draining worker that does not reply while its entry is missing keeps its tasks until its lease expires", func(t *testing.T) {
 		// The entries expired in an outage of the store, and a connection is reset before the worker
