--- a/internal/fleet/dispatcher/upkeep_test.go
+++ b/internal/fleet/dispatcher/upkeep_test.go
@@ -275,9 +275,8 @@
 func TestMachineThatListsOmitGetsItsUpkeep(t *testing.T) {
 	c, wave := newWave(t, 2, 2)
 	c.run(2 * time.Second)
-	for _, id := range []string{"w-0", "w-1"} {
-		c.fleet.Update(id, func(w *fencer.Worker) { w.Slowness = 8 })
-	}
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.Slowness = 8 })
+	c.fleet.Update("w-1", func(w *fencer.Worker) { w.Slowness = 12 })
 	c.submit("a", describer.Queue{}, tasks(8))
 	c.run(5 * tickInterval)
 	require.Len(t, c.fleet.Running("w-1"), 4)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -147,8 +147,23 @@
   'if isSilent(r.Worker) {' 'if false {' $dispatcher 'TestTakeover/a_new_holder_expects'
 mutant "fence: a start without a reply is stopped before a second start" internal/fleet/reconciler/order.go \
   '			w.HasUnconfirmedStart = true
-			w.RecordLostStart(r, now)
+			w.RecordLostStart(monitor.LostStart{Ref: r.Ref, Number: r.Number, Charge: r.Charge, SentAt: r.SentAt})
 			s.Stop(r)' '			s.Resolve(r)' $dispatcher 'TestWorkers/a_start_without'
+mutant "fence: a start without a reply is known after its run is resolved" internal/fleet/reconciler/order.go \
+  'if w != nil && verdict == orderer.Unknown {' 'if false {' $dispatcher 'TestStartOfResolvedRun'
+mutant "fence: a deadline without a reply may reach the next life" internal/fleet/watcher/watcher.go \
+  '	wt.expectLateDeadline(w)
+' '' $dispatcher 'TestLatePollGrantsLongestLease'
+mutant "fence: an inventory without a list is none" platform/connector/workers.go \
+  ' || decoded.Running == nil' '' platform/connector 'TestIncompleteInventory'
+mutant "fence: only the statuses of a refusal show that nothing was appended" platform/connector/store.go \
+  'reply.status, storer.ErrOutcomeUnknown)' 'reply.status, storer.ErrRefused)' platform/connector 'TestAppend'
+mutant "fence: a request that was redirected may have had an effect" platform/connector/connector.go \
+  'return http.ErrUseLastResponse' 'return nil' platform/connector 'TestRedirections'
+mutant "fence: a machine that a list omits counts as down" internal/fleet/evacuator/evacuator.go \
+  'isListOld || !isListed && !e.isGone(id)' 'isListOld || !isListed && false' $dispatcher 'TestMachineMissingFromList'
+mutant "fence: a machine that lists omit needs its upkeep" internal/fleet/evacuator/evacuator.go \
+  'return !w.done[id] })' 'return !w.done[id] && !e.isGone(id) })' $dispatcher 'TestMachineThatListsOmit'
 mutant "fence: no start before the roster is durable" internal/fleet/monitor/monitor.go \
   'w.IsListed && w.IsEnrolled &&' 'w.IsListed &&' $dispatcher 'TestWorkers/a_worker_gets'
 mutant "fence: capacity is reserved for long-running tasks" internal/fleet/placer/placer.go \
