Let a new holder wait only with the tasks of a drained worker

Callers saw: a drained worker that has left does not reply to a new holder, which then starts no task of any job that had begun until the authority of former holders has ended.

Cause: only the progress of jobs with runs on unresponsive workers listed these runs. Of a drained worker the new holder knew nothing but that it had been there.

Why this works: a draining worker gets no new tasks, so its runs can only become fewer. Once no start may be carried out late (none without a reply in the last 12 s, and the claim is older than that), the holder persists its runs with the progress of their jobs and lists it in the roster as closed, as it does for an unresponsive worker, in one batch. A run listed although it has ended only makes its task wait. If the drain is withdrawn, the worker gets tasks once a roster that lists it as open is durable. The fields are named after what they mean now: closed, not unresponsive; the encoding is unchanged. Whether a worker is unresponsive, which is what speculative copies ask, no longer depends on it.

The edits of existing tests only follow the renamed fields.

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -255,7 +255,7 @@
 		progress := c.state.Jobs["a"].Progress
 		progress.HasUnlistedRuns = true
 		for i := range progress.Steps {
-			progress.Steps[i].Unresponsive = nil
+			progress.Steps[i].Closed = nil
 		}
 		record, err := journaler.NewProgress("a", progress)
 		require.NoError(t, err)
@@ -428,7 +428,7 @@
 	record, err := journaler.NewProgress("a", journaler.Progress{Epoch: c.epoch, Begun: true, Done: []byte{1, 255, 255, 255, 255, 255, 255, 255}, Steps: []journaler.StepProgress{
 		{Occurrence: -1}, {Occurrence: 1 << 62, Step: 1}, {Step: -1, Done: []int{0, 1}}, {Done: []int{-5, -1}}, {Done: []int{1 << 62, 1 << 62, 3}},
 		{Failed: map[int][]int64{-1: {1}, 1 << 62: {1}}},
-		{Unresponsive: []journaler.UnresponsiveRun{{Worker: "w-0", Index: -1, Run: 1}, {Worker: "w-0", Index: 1 << 62, Run: 1}, {Worker: "none"}}},
+		{Closed: []journaler.ClosedRun{{Worker: "w-0", Index: -1, Run: 1}, {Worker: "w-0", Index: 1 << 62, Run: 1}, {Worker: "none"}}},
 	}})
 	require.NoError(t, err)
 	c.append(record)
--- a/internal/fleet/dispatcher/record_test.go
+++ b/internal/fleet/dispatcher/record_test.go
@@ -25,7 +25,7 @@
 		func() (journaler.Record, error) {
 			return journaler.NewProgress(job.ID, journaler.Progress{Epoch: 1, Begun: true, Done: []byte{1, 1, 2}, Steps: []journaler.StepProgress{
 				{Occurrence: -1, Step: 1 << 40}, {Done: []int{-5, 1 << 40, 0, 1 << 40}, Failed: map[int][]int64{-1: {1}, 1: {1 << 62}}},
-				{Unresponsive: []journaler.UnresponsiveRun{{Worker: "w-0", Index: 1, Run: 1<<63 - 1}}},
+				{Closed: []journaler.ClosedRun{{Worker: "w-0", Index: 1, Run: 1<<63 - 1}}},
 			}})
 		},
 		func() (journaler.Record, error) { return journaler.NewClaim(journaler.Claim{Epoch: 9, Lease: -1}) },
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -140,17 +140,17 @@
 	// Failed has the numbers of the runs that failed, by task index. The
 	// failures of a gang are stored at index 0.
 	Failed map[int][]int64 `cbor:"4,keyasint,omitempty"`
-	// Unresponsive has the runs on workers that were unresponsive when the record was written.
-	Unresponsive []UnresponsiveRun `cbor:"5,keyasint,omitempty"`
+	// Closed has the runs on workers that were closed when the record was written.
+	Closed []ClosedRun `cbor:"5,keyasint,omitempty"`
 }
 
 // HasContent reports whether there is progress of the step at all.
 func (s StepProgress) HasContent() bool {
-	return len(s.Done) > 0 || len(s.Failed) > 0 || len(s.Unresponsive) > 0
+	return len(s.Done) > 0 || len(s.Failed) > 0 || len(s.Closed) > 0
 }
 
-// UnresponsiveRun is a run on an unresponsive worker.
-type UnresponsiveRun struct {
+// ClosedRun is a run on a worker that gets no tasks, as it is unresponsive or leaves.
+type ClosedRun struct {
 	Worker string `cbor:"1,keyasint"`
 	Index  int    `cbor:"2,keyasint"`
 	Run    int64  `cbor:"3,keyasint"`
@@ -166,7 +166,7 @@
 	// Done has the tasks of a large job that are done, in the encoding of package marker. The tasks are
 	// numbered through all occurrences and their steps. Steps then list none.
 	Done []byte `cbor:"6,keyasint,omitempty"`
-	// HasUnlistedRuns reports that the runs on unresponsive workers are missing in Steps, as the record
+	// HasUnlistedRuns reports that the runs on closed workers are missing in Steps, as the record
 	// would be too large with them.
 	HasUnlistedRuns bool `cbor:"7,keyasint,omitempty"`
 }
@@ -229,7 +229,7 @@
 }
 
 // NewProgress returns the record of a job's progress. If the store may not accept the record, it leaves out
-// what a later holder can do without: first the runs on unresponsive workers, then the failed runs, which a
+// what a later holder can do without: first the runs on closed workers, then the failed runs, which a
 // later holder counts anew. The tasks that are done always fit.
 func NewProgress(id describer.JobID, p Progress) (Record, error) {
 	key := progressPrefix + string(id)
@@ -238,7 +238,7 @@
 		return r, err
 	}
 	p.HasUnlistedRuns = true
-	p.Steps = keepOnly(p.Steps, func(s StepProgress) StepProgress { s.Unresponsive = nil; return s })
+	p.Steps = keepOnly(p.Steps, func(s StepProgress) StepProgress { s.Closed = nil; return s })
 	if r, err = record(key, p); err != nil || len(r.Value) <= maxJobBytes {
 		return r, err
 	}
--- a/internal/fleet/journaler/roster.go
+++ b/internal/fleet/journaler/roster.go
@@ -23,9 +23,9 @@
 type Member struct {
 	ID      string         `cbor:"1,keyasint"`
 	Address netip.AddrPort `cbor:"2,keyasint"`
-	// IsUnresponsive reports that the worker was unresponsive. The persisted progress of the
+	// IsClosed reports that the worker was unresponsive or about to leave. The persisted progress of the
 	// jobs then lists every run that may be active on it, since no others were started there.
-	IsUnresponsive bool `cbor:"3,keyasint,omitempty"`
+	IsClosed bool `cbor:"3,keyasint,omitempty"`
 	// Incarnation is the one that the holder knew; 0 if it knew none. HasLongestLease reports that it may have the
 	// longest lease that a worker accepts, as it had just begun.
 	Incarnation     int64 `cbor:"4,keyasint,omitempty"`
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -75,14 +75,14 @@
 	Info describer.Worker
 	// IsListed reports that the worker is in the host list.
 	IsListed bool
-	// IsEnrolled reports that the newest persisted roster lists the worker as responsive.
+	// IsEnrolled reports that the newest persisted roster lists the worker as one that is not closed.
 	// RosterBatch is the batch whose roster will list it; 0 if no such batch is pending.
 	IsEnrolled  bool
 	RosterBatch int64
-	// IsUnresponsive reports that the worker is unresponsive, and IsListedUnresponsive that the newest
-	// roster that was taken to be persisted says so.
-	IsUnresponsive       bool
-	IsListedUnresponsive bool
+	// IsClosed reports that the worker gets no tasks, as it is unresponsive or leaves, and that its runs are part of the
+	// persisted progress. IsListedClosed reports that the newest roster that was taken to be persisted says so.
+	IsClosed       bool
+	IsListedClosed bool
 	// IsDrained reports that operators have drained the worker: no new task may be started there.
 	IsDrained bool
 	// IsLeaving reports that the worker's machine is about to be taken down for maintenance.
@@ -166,10 +166,10 @@
 }
 
 // MayHaveUnknownRuns reports whether the worker may have runs of a former holder, or results of
-// such runs, that this holder does not know. The runs on an unresponsive worker are known, as they are part of the
+// such runs, that this holder does not know. The runs on a closed worker are known, as they are part of the
 // persisted progress. confirmedAt is when the newest append under the claim that succeeded was sent.
 func (w *Worker) MayHaveUnknownRuns(confirmedAt time.Time) bool {
-	isUnread := !w.IsSynced && !w.IsUnresponsive || w.IsSynced && !w.HasListedResults
+	isUnread := !w.IsSynced && !w.IsClosed || w.IsSynced && !w.HasListedResults
 	if !w.restartSeenAt.IsZero() && !w.restartSeenAt.Before(confirmedAt) {
 		return true
 	}
@@ -177,7 +177,7 @@
 }
 
 // MayHaveUnlistedRuns is like MayHaveUnknownRuns for jobs whose persisted progress does not list the runs
-// on unresponsive workers.
+// on closed workers.
 func (w *Worker) MayHaveUnlistedRuns(confirmedAt time.Time) bool {
 	return (!w.IsSynced || !w.HasListedResults) && !w.Lease.HasExpired(confirmedAt)
 }
@@ -190,6 +190,18 @@
 	return w.Lease.HasExpired(confirmedAt) && now.Sub(w.RepliedAt) > MaxReplyAge
 }
 
+// IsUnresponsive reports whether the worker has not replied for UnresponsiveAfter.
+func (w *Worker) IsUnresponsive(now time.Time) bool {
+	return w.HasFailedPoll && now.Sub(w.RepliedAt) > UnresponsiveAfter
+}
+
+// HasLastRuns reports whether the worker drains and no start can add a run there that is not known: its results were listed,
+// and no late start may be carried out, neither one of this holder, which claimed the cell at claimedAt, nor one of a former
+// holder.
+func (w *Worker) HasLastRuns(claimedAt, now time.Time) bool {
+	return w.Info.Draining && w.HasListedResults && now.Sub(claimedAt) >= maxLateness && len(w.LostStarts(now)) == 0
+}
+
 // AcceptsTasks reports whether tasks may be started on the worker. The host list entry and the
 // replies must be of the same incarnation, since another one may have a different capacity. The worker gets no tasks
 // until polls that were sent to a former incarnation are back, and none can arrive any more that acknowledges results by
--- a/internal/fleet/persister/persister.go
+++ b/internal/fleet/persister/persister.go
@@ -27,7 +27,7 @@
 )
 
 // maxAtomicBytes is the size of progress that certainly fits into one append with the roster. More of it comes
-// after an interim roster, which lists the workers that have become responsive or unresponsive as responsive:
+// after an interim roster, which lists the workers that have been closed or opened as open:
 // a successor then polls them whatever the progress says of their runs.
 const maxAtomicBytes = 256 << 10
 
@@ -92,7 +92,7 @@
 	s.taken++
 	records, jobErrs := s.jobRecords(epoch, workers)
 	if s.isRosterStale && sizeOf(records) > maxAtomicBytes {
-		interim, err := newRoster(epoch, workers, func(w *monitor.Worker) bool { return w.IsUnresponsive && w.IsListedUnresponsive })
+		interim, err := newRoster(epoch, workers, func(w *monitor.Worker) bool { return w.IsClosed && w.IsListedClosed })
 		if err != nil {
 			jobErrs = errors.Join(jobErrs, errors.Errorf("create interim roster record: %w", err))
 		} else {
@@ -118,9 +118,9 @@
 
 // jobRecords returns the progress records of the changed jobs, ordered by job ID.
 func (s *Persister) jobRecords(epoch int64, workers []*monitor.Worker) ([]journaler.Record, error) {
-	unresponsive := make(map[string]bool)
+	closed := make(map[string]bool)
 	for _, w := range workers {
-		unresponsive[w.Info.ID] = w.IsUnresponsive
+		closed[w.Info.ID] = w.IsClosed
 	}
 	jobs := make([]*tasker.Job, 0, len(s.changed))
 	for j := range s.changed {
@@ -131,7 +131,7 @@
 	var records []journaler.Record
 	var errs error
 	for _, j := range jobs {
-		progress := j.Progress(epoch, func(worker string) bool { return unresponsive[worker] })
+		progress := j.Progress(epoch, func(worker string) bool { return closed[worker] })
 		record, err := journaler.NewProgress(j.Spec.ID, progress)
 		if err != nil {
 			errs = errors.Join(errs, errors.Errorf("create progress record of job %q: %w", j.Spec.ID, err))
@@ -172,11 +172,11 @@
 }
 
 // newRoster returns the records of the workers on which runs may be active.
-func newRoster(epoch int64, workers []*monitor.Worker, isUnresponsive func(w *monitor.Worker) bool) ([]journaler.Record, error) {
+func newRoster(epoch int64, workers []*monitor.Worker, isClosed func(w *monitor.Worker) bool) ([]journaler.Record, error) {
 	roster := journaler.Roster{Epoch: epoch}
 	for _, w := range workers {
 		roster.Members = append(roster.Members, journaler.Member{
-			ID: w.Info.ID, Address: w.Info.Address, IsUnresponsive: isUnresponsive(w),
+			ID: w.Info.ID, Address: w.Info.Address, IsClosed: isClosed(w),
 			Incarnation: cmp.Or(w.Incarnation, w.Info.Incarnation), HasLongestLease: w.HasLongestLease(),
 		})
 	}
@@ -186,13 +186,13 @@
 // takeRoster returns the records of the workers on which runs may be active. It clears the stale
 // flag and sets the batch in the workers that are not enrolled yet.
 func (s *Persister) takeRoster(epoch int64, workers []*monitor.Worker) ([]journaler.Record, error) {
-	records, err := newRoster(epoch, workers, func(w *monitor.Worker) bool { return w.IsUnresponsive })
+	records, err := newRoster(epoch, workers, func(w *monitor.Worker) bool { return w.IsClosed })
 	if err != nil {
 		return nil, err
 	}
 	s.isRosterStale = false
 	for _, w := range workers {
-		w.IsListedUnresponsive = w.IsUnresponsive
+		w.IsListedClosed = w.IsClosed
 		if !w.IsEnrolled && w.RosterBatch == 0 {
 			w.RosterBatch = s.taken
 		}
@@ -206,7 +206,7 @@
 	for _, w := range workers {
 		w.Results.MarkDurable(s.saved)
 		if w.RosterBatch > 0 && w.RosterBatch <= s.saved {
-			w.IsEnrolled, w.RosterBatch = !w.IsUnresponsive, 0
+			w.IsEnrolled, w.RosterBatch = !w.IsClosed, 0
 		}
 	}
 }
--- a/internal/fleet/placer/speculative.go
+++ b/internal/fleet/placer/speculative.go
@@ -1,7 +1,6 @@
 package placer
 
 import (
-	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/selector"
 	"lentilrock.example/internal/fleet/tasker"
 )
@@ -34,6 +33,5 @@
 		return false
 	}
 	w, found := p.Workers[t.Run.Worker]
-	isSilent := found && w.HasFailedPoll && p.Now.Sub(w.RepliedAt) > monitor.UnresponsiveAfter
-	return isSilent || t.IsStraggler(p.Now)
+	return found && w.IsUnresponsive(p.Now) || t.IsStraggler(p.Now)
 }
--- a/internal/fleet/tasker/progress.go
+++ b/internal/fleet/tasker/progress.go
@@ -15,8 +15,8 @@
 )
 
 // Progress returns the progress of a job to persist under an epoch. It includes the job's runs on
-// unresponsive workers.
-func (j *Job) Progress(epoch int64, isSilent func(worker string) bool) journaler.Progress {
+// closed workers.
+func (j *Job) Progress(epoch int64, isClosed func(worker string) bool) journaler.Progress {
 	p := journaler.Progress{Epoch: epoch, Begun: j.Begun, Outcome: j.Outcome, Reason: j.Reason}
 	if j.IsOver() {
 		return p
@@ -24,7 +24,7 @@
 	if j.tally.StepCount() > maxListedSteps || j.tally.TaskCount() > maxListedTasks {
 		p.Done = j.tally.Encode()
 		for _, number := range sorter.Keys(j.steps) {
-			if stored := j.steps[number].progress(isSilent); stored.HasContent() {
+			if stored := j.steps[number].progress(isClosed); stored.HasContent() {
 				p.Steps = append(p.Steps, stored)
 			}
 		}
@@ -32,7 +32,7 @@
 	}
 	for number := range j.tally.StepCount() {
 		s := j.step(number)
-		stored := s.progress(isSilent)
+		stored := s.progress(isClosed)
 		stored.Done = s.listDone()
 		if stored.HasContent() {
 			p.Steps = append(p.Steps, stored)
@@ -54,7 +54,7 @@
 }
 
 // progress returns the progress of a step, without the tasks that are done.
-func (s *Step) progress(isSilent func(worker string) bool) journaler.StepProgress {
+func (s *Step) progress(isClosed func(worker string) bool) journaler.StepProgress {
 	p := journaler.StepProgress{Occurrence: s.Occurrence, Step: s.Index}
 	addFailures(&p, 0, s.gangFailures)
 	for _, t := range s.KeptTasks() {
@@ -63,8 +63,8 @@
 		}
 		addFailures(&p, t.Index, t.failures)
 		for _, r := range t.runs {
-			if isSilent(r.Worker) {
-				p.Unresponsive = append(p.Unresponsive, journaler.UnresponsiveRun{Worker: r.Worker, Index: t.Index, Run: r.Number})
+			if isClosed(r.Worker) {
+				p.Closed = append(p.Closed, journaler.ClosedRun{Worker: r.Worker, Index: t.Index, Run: r.Number})
 			}
 		}
 	}
--- a/internal/fleet/tasker/progress_test.go
+++ b/internal/fleet/tasker/progress_test.go
@@ -102,7 +102,7 @@
 		j := tasker.NewJob(&journaler.Entry{Job: &job})
 		j.AddRun(&tasker.Run{Task: j.Task(describer.TaskRef{}), Job: j, Number: 300, Worker: "w-1", Stopping: true})
 		progress, _ := persist(t, j, true)
-		require.Equal(t, []journaler.UnresponsiveRun{{Worker: "w-1", Run: 300}}, progress.Steps[0].Unresponsive)
+		require.Equal(t, []journaler.ClosedRun{{Worker: "w-1", Run: 300}}, progress.Steps[0].Closed)
 	})
 	t.Run("failed runs that do not fit are left out, and no task that is done", func(t *testing.T) {
 		j := tasker.NewJob(&journaler.Entry{Job: &job})
--- a/internal/fleet/tasker/tasker.go
+++ b/internal/fleet/tasker/tasker.go
@@ -54,7 +54,7 @@
 	// log already had progress of the job.
 	FirstProgressBatch int64
 	// MayHaveUnknownRuns reports that a former holder may have started tasks of the job, and
-	// MayHaveUnlistedRuns that its progress does not list those on unresponsive workers.
+	// MayHaveUnlistedRuns that its progress does not list those on closed workers.
 	MayHaveUnknownRuns  bool
 	MayHaveUnlistedRuns bool
 	// Batch is the newest batch with progress of the job.
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -77,7 +77,7 @@
 }
 
 // Restore adds the workers of the roster that a former holder persisted, and the runs that it
-// persisted for unresponsive workers.
+// persisted for closed workers.
 func (wt *Watcher) Restore(members []journaler.Member, jobs []*journaler.Entry) {
 	for _, member := range members {
 		if wt.Workers[member.ID] != nil {
@@ -88,7 +88,7 @@
 		if member.HasLongestLease {
 			wt.expectLongestLease(w)
 		}
-		w.IsUnresponsive, w.IsListedUnresponsive, w.IsEnrolled = member.IsUnresponsive, member.IsUnresponsive, !member.IsUnresponsive
+		w.IsClosed, w.IsListedClosed, w.IsEnrolled = member.IsClosed, member.IsClosed, !member.IsClosed
 	}
 	for _, entry := range jobs {
 		wt.adoptRuns(entry)
@@ -150,7 +150,7 @@
 	if w.EndLongestLease(wt.Now) {
 		wt.Persister.MarkRosterChanged()
 	}
-	wt.trackResponses(w)
+	wt.trackClosed(w)
 	for _, r := range w.Runs {
 		switch {
 		case hasExpired:
@@ -164,16 +164,18 @@
 	}
 }
 
-// trackResponses updates whether a worker is unresponsive. The runs of an unresponsive worker
-// are persisted with the progress of their jobs, so that a later holder knows that there are no
-// others. A worker that replies again gets tasks once a roster that lists it as responsive is
-// persisted.
-func (wt *Watcher) trackResponses(w *monitor.Worker) {
-	isUnresponsive := w.IsSynced && w.HasFailedPoll && wt.Now.Sub(w.RepliedAt) > monitor.UnresponsiveAfter
-	if w.IsUnresponsive == isUnresponsive || !w.IsSynced {
+// trackClosed updates whether a worker is closed. The runs of a worker that is unresponsive, or that drains and gets no
+// more starts, are persisted with the progress of their jobs, so that a later holder knows that there are no others. A worker
+// that is no longer closed gets tasks once a roster that lists it as open is persisted.
+func (wt *Watcher) trackClosed(w *monitor.Worker) {
+	if !w.IsSynced {
 		return
 	}
-	w.IsUnresponsive, w.IsEnrolled, w.RosterBatch = isUnresponsive, false, 0
+	isClosed := w.IsUnresponsive(wt.Now) || w.HasLastRuns(wt.ClaimedAt, wt.Now)
+	if w.IsClosed == isClosed {
+		return
+	}
+	w.IsClosed, w.IsEnrolled, w.RosterBatch = isClosed, false, 0
 	wt.Persister.MarkRosterChanged()
 	for _, r := range w.Runs {
 		if r.Job != nil {
@@ -182,15 +184,14 @@
 	}
 }
 
-// adoptRuns adds the persisted runs of a job at workers that were unresponsive under a former
-// holder.
+// adoptRuns adds the persisted runs of a job at workers that were closed under a former holder.
 func (wt *Watcher) adoptRuns(entry *journaler.Entry) {
 	j, found := wt.Jobs[entry.ID]
 	if !found {
 		return
 	}
 	for _, p := range entry.Progress.Steps {
-		for _, sr := range p.Unresponsive {
+		for _, sr := range p.Closed {
 			w, isKnown := wt.Workers[sr.Worker]
 			ref := describer.TaskRef{Job: entry.ID, Occurrence: p.Occurrence, Step: p.Step, Index: sr.Index}
 			if !isKnown || sr.Run <= 0 || sr.Run > describer.MaxRun || j.Task(ref) == nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -159,7 +159,7 @@
 mutant "fence: an unlisted run is waited for" internal/fleet/placer/placer.go \
   '|| hasUnlistedRuns &&' '|| false && hasUnlistedRuns &&' $dispatcher 'TestTakeover/a_new_holder_waits_for_a_worker_that_was'
 mutant "fence: runs on unresponsive workers are persisted" internal/fleet/tasker/progress.go \
-  'if isSilent(r.Worker) {' 'if false {' $dispatcher 'TestTakeover/a_new_holder_expects'
+  'if isClosed(r.Worker) {' 'if false {' $dispatcher 'TestTakeover/a_new_holder_expects'
 mutant "fence: a start without a reply is stopped before a second start" internal/fleet/reconciler/order.go \
   '			w.HasUnconfirmedStart = true
 			w.RecordLostStart(r, now)
@@ -172,6 +172,18 @@
   'j.MayHaveUnknownRuns = entry.HasProgress()' 'j.MayHaveUnknownRuns = false && entry.HasProgress()' $dispatcher 'TestTakeover/a_task_that_may'
 mutant "fence: no start before the progress is durable, so that a successor learns of it" internal/fleet/placer/placer.go \
   'return j.FirstProgressBatch <= p.Persister.LastDurable()' 'return true' $dispatcher 'TestTakeover/a_job_without_persisted'
+mutant "fence: a new holder waits only with the tasks of a drained worker" internal/fleet/monitor/monitor.go \
+  'return w.Info.Draining && w.HasListedResults' 'return false && w.HasListedResults' $dispatcher 'TestDrainedWorkerDelays'
+mutant "fence: the runs of a drained worker are persisted" internal/fleet/watcher/watcher.go \
+  'wt.Persister.MarkChanged(r.Job)' 'continue' $dispatcher 'TestDrainedWorkerDelays'
+mutant "fence: a draining worker is closed only when no late start may arrive" internal/fleet/monitor/monitor.go \
+  ' && len(w.LostStarts(now)) == 0' '' $dispatcher 'TestLateStartAtWorker'
+mutant "fence: a draining worker is closed only when no late start of a former holder may arrive" internal/fleet/monitor/monitor.go \
+  ' && now.Sub(claimedAt) >= maxLateness' '' $dispatcher 'TestLateStartAtWorker'
+mutant "fence: a worker whose drain was withdrawn gets tasks only after an append" internal/fleet/watcher/watcher.go \
+  'w.IsClosed, w.IsEnrolled, w.RosterBatch = isClosed, false, 0' 'w.IsClosed = isClosed' $dispatcher 'TestWithdrawnDrain'
+mutant "sharing: a drain starts no speculative copies" internal/fleet/placer/speculative.go \
+  'found && w.IsUnresponsive(p.Now)' 'found && w.IsClosed' $dispatcher 'TestDrainStartsNoCopies'
 mutant "fence: a worker that left blocks no starts once its lease has expired" internal/fleet/monitor/monitor.go \
   ' && !w.Lease.HasExpired(confirmedAt)' '' $dispatcher 'TestTakeover/a_worker_that_drained'
 mutant "fence: a drained worker that does not reply may have runs of a former holder" internal/fleet/monitor/monitor.go \
