--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -184,8 +184,8 @@
   'w.IsClosed, w.IsEnrolled, w.RosterBatch = isClosed, false, 0' 'w.IsClosed = isClosed' $dispatcher 'TestWithdrawnDrain'
 mutant "sharing: a drain starts no speculative copies" internal/fleet/placer/speculative.go \
   'found && w.IsUnresponsive(p.Now)' 'found && w.IsClosed' $dispatcher 'TestDrainStartsNoCopies'
-mutant "fence: a worker that left blocks no starts once its lease has expired" internal/fleet/monitor/monitor.go \
-  ' && !w.Lease.HasExpired(confirmedAt)' '' $dispatcher 'TestTakeover/a_worker_that_drained'
+mutant "fence: a worker without a reply blocks no starts once its lease has expired" internal/fleet/monitor/monitor.go \
+  ' && !w.Lease.HasExpired(confirmedAt)' '' $dispatcher 'TestReplacedWorkerBlocksNothing'
 mutant "fence: a drained worker that does not reply may have runs of a former holder" internal/fleet/monitor/monitor.go \
   ' && !w.Lease.HasExpired(confirmedAt)' ' && !w.Lease.HasExpired(confirmedAt) && !w.Info.Draining' $dispatcher 'TestTakeover/a_worker_that_drained'
 mutant "sharing: only steps that allow it have speculative copies" internal/fleet/tasker/ready.go \
