Move tasks off a draining worker before it leaves

Cause: the holder stopped giving tasks to a draining worker, logged how long it remains, and left the tasks there to be lost.

Why this works: the end of a run that was stopped is certain as soon as the worker lists it, and checkpoints are saved. Long-running tasks are moved while the worker drains, as many at a time of a step as the step allows to be down, and only if there is room for them elsewhere, since they serve well until the worker leaves. In the last 1.5 s before it may leave they are stopped in any case, and so are tasks that save checkpoints, unless they end by then at the speed so far. Tasks that neither last nor save are left to end: a worker often remains longer than it says, and their work would be thrown away. Gangs that don't last are left, too: stopping one member breaks the others. A worker that doesn't say how long it remains loses only long-running tasks for which there is room.

TestDrainingWorkerIsEmptied failed before. In the chaos tests every second worker that leaves says that it remains a second.

--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -486,8 +486,11 @@
 			x.missing[id] = x.clock.Now().Add(x.between(100*time.Millisecond, 2*time.Second))
 		}
 	case workerLeaves:
-		// The worker drains and leaves; another one joins.
+		// The worker drains and leaves; another one joins. Some say how long they remain at least.
 		info.Draining = true
+		if info.Incarnation%2 == 0 {
+			info.Remaining = time.Second
+		}
 		x.publish(info)
 		x.after(x.between(time.Second, 4*time.Second), func() {
 			x.left[info.ID] = true
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -57,6 +57,7 @@
 func newCell(t testing.TB, workers int) *cell {
 	c := &cell{t: t, clock: clockwork.NewFakeClockAt(time.Unix(1_800_000_000, 0)), state: journaler.New()}
 	c.fleet = fencer.NewFleet(c.clock, c.runTimeOf, c.chargeOf)
+	c.fleet.IsLongRunning = func(ref describer.TaskRef) bool { return c.state.Jobs[ref.Job].Job.Steps[ref.Step].LongRunning }
 	for i := range workers {
 		c.fleet.Add(describer.Worker{
 			ID: fmt.Sprintf("w-%d", i), Service: "kitchen", Capacity: describer.Resources{MilliCPU: 4000, MemoryMB: 8000},
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -1,7 +1,8 @@
 // Package evacuator carries out the waves of upkeep, that is rolling maintenance, which
 // operators request. It takes a limited number of machines down at a time, after the runs on
 // them have ended or were stopped, and never takes more tasks of a step down than the step
-// allows.
+// allows. It also moves tasks off workers that operators have drained, and off ones that drain
+// before they leave.
 //
 // It works for the claim holder, the leader of the cell. Orders of a former holder may still be in
 // flight.
@@ -196,13 +197,13 @@
 	}
 }
 
-// Tick moves long-running tasks off drained workers and advances the waves. Waves wait for a list of
+// Tick moves tasks off drained and draining workers and advances the waves. Waves wait for a list of
 // machines that was requested when no orders of a former holder were in flight any more.
 func (e *Evacuator) Tick(now time.Time) {
 	e.Now = now
 	// A former holder may have stopped others of a step shortly before, and a successor may do so now.
 	if now.Sub(e.ClaimedAt) >= formerHolderGrace && e.Claim.MayOrderUnfenced(now) {
-		e.moveLongRunning()
+		e.moveOff()
 	}
 	if e.listedAt.Sub(e.ClaimedAt) < formerHolderGrace {
 		return
@@ -212,25 +213,6 @@
 	}
 }
 
-// moveLongRunning stops the long-running tasks on drained workers, so that they start
-// elsewhere. Of each step it stops as many at a time as the step allows to be down, or one if
-// the step sets no limit.
-func (e *Evacuator) moveLongRunning() {
-	for _, w := range e.Ordered {
-		if !w.IsDrained {
-			continue
-		}
-		for _, r := range w.Runs {
-			if r.Stopping || r.Task == nil || !r.Task.Step.Spec.LongRunning {
-				continue
-			}
-			if step := r.Task.Step; step.UnavailableTasks("", e.isGoingDown) < max(step.Spec.MaxUnavailable, 1) {
-				e.reconciler.Stop(r)
-			}
-		}
-	}
-}
-
 // tickWave evacuates further machines of a wave, orders their upkeep and reports the progress.
 func (e *Evacuator) tickWave(w *wave) {
 	if w.isReportedCompleted() {
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -75,6 +75,8 @@
 	Info describer.Worker
 	// IsListed reports that the worker is in the host list.
 	IsListed bool
+	// LeavesAt is when the worker may leave at the earliest; zero if it does not drain or doesn't say it.
+	LeavesAt time.Time
 	// IsEnrolled reports that the newest persisted roster lists the worker as one that is not closed.
 	// RosterBatch is the batch whose roster will list it; 0 if no such batch is pending.
 	IsEnrolled  bool
@@ -144,6 +146,23 @@
 	return &Worker{Info: info, Runs: make(map[RunKey]*tasker.Run), Lease: leaser.Lease{ExpiresAt: lapseAt}}
 }
 
+// SetInfo records the worker's entry of the host list.
+func (w *Worker) SetInfo(info describer.Worker, now time.Time) {
+	isNews := w.LeavesAt.IsZero() || info.Remaining != w.Info.Remaining
+	switch {
+	case !info.Draining:
+		w.LeavesAt = time.Time{}
+	case isNews && info.Remaining > 0:
+		w.LeavesAt = now.Add(info.Remaining)
+	}
+	w.Info, w.IsListed = info, true
+}
+
+// IsAboutToLeave reports whether the worker may leave within a time.
+func (w *Worker) IsAboutToLeave(within time.Duration, now time.Time) bool {
+	return !w.LeavesAt.IsZero() && w.LeavesAt.Sub(now) < within
+}
+
 // Add records a run that may be active on the worker and charges its resources.
 func (w *Worker) Add(r *tasker.Run) {
 	w.Runs[KeyOf(r)] = r
--- a/internal/fleet/selector/selector.go
+++ b/internal/fleet/selector/selector.go
@@ -9,6 +9,7 @@
 package selector
 
 import (
+	"slices"
 	"time"
 
 	"lentilrock.example/internal/fleet/describer"
@@ -72,6 +73,11 @@
 	return false
 }
 
+// HasRoomForOne reports whether a worker has room for one more task of a step, with a ticket or without.
+func HasRoomForOne(s *tasker.Step, workers []*monitor.Worker, now time.Time) bool {
+	return slices.ContainsFunc(workers, func(w *monitor.Worker) bool { return fits(s, w, Plan{}, now) })
+}
+
 // Best returns the worker with the lowest score for a task and the ticket to use there, or nil
 // if no worker can take the task.
 func (c Selector) Best(t *tasker.Task, workers []*monitor.Worker, p Plan, now time.Time) (*monitor.Worker, string) {
@@ -110,10 +116,7 @@
 
 // canPlace reports whether a worker can take a task of a step, and returns the ticket to use.
 func canPlace(s *tasker.Step, w *monitor.Worker, p Plan, now time.Time) (string, bool) {
-	if !w.AcceptsTasks(now) || !Matches(s, w) || !s.Spec.Charge().Fits(w.FreeCapacityFor(s, now).Minus(p.charge[w.Info.ID])) {
-		return "", false
-	}
-	if s.Spec.MaxPerWorker > 0 && s.RunsAt(w.Info.ID)+p.count[w.Info.ID] >= s.Spec.MaxPerWorker {
+	if !fits(s, w, p, now) {
 		return "", false
 	}
 	if !s.Job.Queue.NeedsAdvice() {
@@ -122,6 +125,14 @@
 	return s.Advice.Ticket(w.Info.ID, w.Incarnation, now)
 }
 
+// fits reports whether a worker can take a task of a step if it needs no ticket.
+func fits(s *tasker.Step, w *monitor.Worker, p Plan, now time.Time) bool {
+	if !w.AcceptsTasks(now) || !Matches(s, w) || !s.Spec.Charge().Fits(w.FreeCapacityFor(s, now).Minus(p.charge[w.Info.ID])) {
+		return false
+	}
+	return s.Spec.MaxPerWorker == 0 || s.RunsAt(w.Info.ID)+p.count[w.Info.ID] < s.Spec.MaxPerWorker
+}
+
 // Matches reports whether a worker is in the pool that a step needs and has its label.
 func Matches(s *tasker.Step, w *monitor.Worker) bool {
 	return w.Info.Service == s.Job.Queue.Service && w.Info.HasLabel(s.Spec.Label)
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -71,7 +71,7 @@
 		if w.HasRestartedUnnoticed(info.Incarnation) {
 			wt.expectLongestLease(w)
 		}
-		w.Info, w.IsListed = info, true
+		w.SetInfo(info, now)
 	}
 	slices.SortFunc(wt.Ordered, func(a, b *monitor.Worker) int { return strings.Compare(a.Info.ID, b.Info.ID) })
 	wt.reportEntries()
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -182,6 +182,14 @@
   ' && now.Sub(claimedAt) >= maxLateness' '' $dispatcher 'TestLateStartAtWorker'
 mutant "fence: a worker whose drain was withdrawn gets tasks only after an append" internal/fleet/watcher/watcher.go \
   'w.IsClosed, w.IsEnrolled, w.RosterBatch = isClosed, false, 0' 'w.IsClosed = isClosed' $dispatcher 'TestWithdrawnDrain'
+mutant "fence: tasks move off a worker that drains" internal/fleet/evacuator/moves.go \
+  'if !w.IsDrained && !w.Info.Draining {' 'if !w.IsDrained {' $dispatcher 'TestDrainingWorkerIsEmptied'
+mutant "fence: a run that ends before its worker leaves is not stopped" internal/fleet/evacuator/moves.go \
+  ' && !endsBefore(r, w.LeavesAt, e.Now)' '' $dispatcher 'TestDrainingWorkerIsEmptied'
+mutant "fence: a task that saves checkpoints goes on until its worker is about to leave" internal/fleet/evacuator/moves.go \
+  'return isAboutToLeave && step' 'return step' $dispatcher 'TestDrainingWorkerKeepsTasks'
+mutant "fence: a long-running task leaves a draining worker only if there is room" internal/fleet/evacuator/moves.go \
+  'w.IsDrained || selector' 'true || selector' $dispatcher 'TestDrainingWorkerKeepsTasks'
 mutant "sharing: a drain starts no speculative copies" internal/fleet/placer/speculative.go \
   'found && w.IsUnresponsive(p.Now)' 'found && w.IsClosed' $dispatcher 'TestDrainStartsNoCopies'
 mutant "fence: a worker without a reply blocks no starts once its lease has expired" internal/fleet/monitor/monitor.go \
