Persist the end of a run on a closed worker

The log of the new holder shows that it waited for run 1 of the task, on a worker that had left 11 s before, although run 2 had been started elsewhere and stopped since.

Cause: the progress of a job lists its runs on closed workers, and was not persisted again when one of them ended without a result that counts: one that was stopped, or lost.

Why this works: Resolve is called only for runs that are certain to have ended, so that the new record lists none too few.

TestMovedTaskIsNotExpected failed before.

--- a/internal/fleet/dispatcher/draining_test.go
+++ b/internal/fleet/dispatcher/draining_test.go
@@ -196,6 +196,28 @@
 	c.requireInvariants()
 }
 
+// TestMovedTaskIsNotExpected guards against a new holder that waits for the run of a task on a drained worker, although the
+// former holder had seen the end of this run.
+func TestMovedTaskIsNotExpected(t *testing.T) {
+	c := newCell(t, 2)
+	c.run(lateCalls)
+	c.listed = c.fleet.Workers()[:1]
+	c.submit("a", describer.Queue{}, longRunning(1))
+	c.run(4 * tickInterval)
+	require.Len(t, c.fleet.Running("w-0"), 1)
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.Info.Draining = true })
+	c.listed = c.fleet.Workers()
+	c.run(time.Second)
+	require.Len(t, c.fleet.Running("w-1"), 1)
+	c.fleet.Update("w-0", func(w *fencer.Worker) { w.HasExited = true })
+	c.fleet.Restart("w-1", 2)
+	c.listed = c.fleet.Workers()[1:]
+	c.claim()
+	c.run(time.Second)
+	require.Len(t, c.fleet.Running("w-1"), 1)
+	c.requireInvariants()
+}
+
 // TestDrainingWorkerKeepsTasks guards against tasks that are stopped on a draining worker while they could go on.
 func TestDrainingWorkerKeepsTasks(t *testing.T) {
 	for name, remaining := range map[string]time.Duration{"the worker remains long enough": 5 * time.Second, "the worker does not say how long it remains": 0} {
--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -137,11 +137,16 @@
 // Resolve removes a run that is not running and never will be. The caller must be certain of
 // that: the task may start elsewhere at once.
 func (s *Reconciler) Resolve(r *tasker.Run) {
-	if w, found := s.Workers[r.Worker]; found {
+	w, found := s.Workers[r.Worker]
+	if found {
 		w.Remove(r)
 	}
 	if r.Job != nil {
 		r.Job.RemoveRun(r)
+		if found && w.IsClosed {
+			// The persisted progress lists the run, and a later holder would wait for it.
+			s.Persister.MarkChanged(r.Job)
+		}
 	}
 	if r.Task == nil || r.Task.Run != r {
 		return
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -190,6 +190,8 @@
   'return isAboutToLeave && step' 'return step' $dispatcher 'TestDrainingWorkerKeepsTasks'
 mutant "fence: a long-running task leaves a draining worker only if there is room" internal/fleet/evacuator/moves.go \
   'w.IsDrained || selector' 'true || selector' $dispatcher 'TestDrainingWorkerKeepsTasks'
+mutant "fence: a new holder does not expect a run on a closed worker that has ended" internal/fleet/reconciler/reconciler.go \
+  'if found && w.IsClosed {' 'if false {' $dispatcher 'TestMovedTaskIsNotExpected'
 mutant "sharing: a drain starts no speculative copies" internal/fleet/placer/speculative.go \
   'found && w.IsUnresponsive(p.Now)' 'found && w.IsClosed' $dispatcher 'TestDrainStartsNoCopies'
 mutant "fence: a worker without a reply blocks no starts once its lease has expired" internal/fleet/monitor/monitor.go \
