--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -38,8 +38,8 @@
 	// maxStartsInFlight bounds the starts without a verdict, as more than the connections to a worker can
 	// carry would wait for one until they time out.
 	maxStartsInFlight = 24
-	// maxLateness is how long after it was sent a call without a reply may be carried out.
-	maxLateness = 12 * time.Second
+	// MaxLateness is how long after it was sent a call without a reply may be carried out.
+	MaxLateness = 12 * time.Second
 	// maxRuns bounds the runs on a worker, which lists all of them in each reply to a poll.
 	maxRuns = 1024
 	// maxStartTimeout is the upper bound of the timeout of a start.
@@ -123,6 +123,9 @@
 	// lostAcknowledgementAt is when the newest poll to the current incarnation was sent that acknowledges results and
 	// got no reply. mayDiscardUntil is until when such a poll to a former incarnation may arrive.
 	lostAcknowledgementAt, mayDiscardUntil time.Time
+	// lostDeadlineAt is when the newest call to the current incarnation was sent that has a deadline and got no reply.
+	// lateDeadlineUntil is until when such a call to a former incarnation may arrive.
+	lostDeadlineAt, lateDeadlineUntil time.Time
 	// lostStarts are the starts without a reply that may still be carried out, the oldest first.
 	lostStarts []LostStart
 	// startsInFlight counts the starts without a verdict so far.
@@ -221,7 +224,7 @@
 // and no late start may be carried out, neither one of this holder, which claimed the cell at claimedAt, nor one of a former
 // holder.
 func (w *Worker) HasLastRuns(claimedAt, now time.Time) bool {
-	return w.Info.Draining && w.HasListedResults && now.Sub(claimedAt) >= maxLateness && len(w.LostStarts(now)) == 0
+	return w.Info.Draining && w.HasListedResults && now.Sub(claimedAt) >= MaxLateness && len(w.LostStarts(now)) == 0
 }
 
 // AcceptsTasks reports whether tasks may be started on the worker. The host list entry and the
@@ -243,6 +246,8 @@
 	w.stalePolls = w.pollsInFlight
 	w.expectAcknowledgement(w.lostAcknowledgementAt)
 	w.lostAcknowledgementAt = time.Time{}
+	w.expectDeadline(w.lostDeadlineAt)
+	w.lostDeadlineAt = time.Time{}
 	w.Results, w.Breaker, w.Pacer = acknowledger.ResultTracker{}, breaker.Breaker{}, pacer.Pacer{}
 }
 
@@ -261,14 +266,14 @@
 }
 
 // RecordLostStart records that the start of a run got no reply. Of very many the oldest are forgotten.
-func (w *Worker) RecordLostStart(r *tasker.Run, now time.Time) {
-	w.lostStarts = append(w.LostStarts(now), LostStart{Ref: r.Ref, Number: r.Number, Charge: r.Charge, SentAt: r.SentAt})
+func (w *Worker) RecordLostStart(start LostStart) {
+	w.lostStarts = append(w.lostStarts, start)
 	w.lostStarts = w.lostStarts[max(len(w.lostStarts)-maxRuns, 0):]
 }
 
 // LostStarts returns the starts without a reply that may still be carried out.
 func (w *Worker) LostStarts(now time.Time) []LostStart {
-	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return now.Sub(s.SentAt) >= maxLateness })
+	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return now.Sub(s.SentAt) >= MaxLateness })
 	return w.lostStarts
 }
 
@@ -295,14 +300,20 @@
 }
 
 // MayGetLateCalls reports whether calls without a reply may still be carried out that matter to a later incarnation:
-// starts, and polls that acknowledge results.
+// starts, calls with a deadline, and polls that acknowledge results.
 func (w *Worker) MayGetLateCalls(now time.Time) bool {
-	isAwaited := !w.lostAcknowledgementAt.IsZero() && now.Sub(w.lostAcknowledgementAt) < maxLateness
-	return isAwaited || now.Before(w.mayDiscardUntil) || len(w.LostStarts(now)) > 0
+	isOutstanding := func(sentAt time.Time) bool { return !sentAt.IsZero() && now.Sub(sentAt) < MaxLateness }
+	isAwaited := isOutstanding(w.lostAcknowledgementAt) || isOutstanding(w.lostDeadlineAt)
+	return isAwaited || now.Before(w.mayDiscardUntil) || now.Before(w.lateDeadlineUntil) || len(w.LostStarts(now)) > 0
 }
 
-// BeginLongestLease records until when the worker may have the longest lease.
-func (w *Worker) BeginLongestLease(until time.Time) { w.longestLeaseUntil = until }
+// BeginLongestLease records until when the worker may have the longest lease. An earlier time than the known one changes
+// nothing.
+func (w *Worker) BeginLongestLease(until time.Time) {
+	if until.After(w.longestLeaseUntil) {
+		w.longestLeaseUntil = until
+	}
+}
 
 // HasLongestLease reports whether the worker may have the longest lease.
 func (w *Worker) HasLongestLease() bool { return !w.longestLeaseUntil.IsZero() }
@@ -327,11 +338,32 @@
 
 // expectAcknowledgement records that a poll to a former incarnation may still arrive.
 func (w *Worker) expectAcknowledgement(sentAt time.Time) {
-	if until := sentAt.Add(maxLateness); until.After(w.mayDiscardUntil) {
+	if until := sentAt.Add(MaxLateness); until.After(w.mayDiscardUntil) {
 		w.mayDiscardUntil = until
 	}
 }
 
+// DeadlineLost records that a call with a deadline got no reply. It may still arrive.
+func (w *Worker) DeadlineLost(sentAt time.Time) {
+	switch {
+	case !sentAt.After(w.IncarnationAt):
+		w.expectDeadline(sentAt)
+	case sentAt.After(w.lostDeadlineAt):
+		w.lostDeadlineAt = sentAt
+	}
+}
+
+// expectDeadline records that a deadline on the clock of a former incarnation may still arrive.
+func (w *Worker) expectDeadline(sentAt time.Time) {
+	if until := sentAt.Add(MaxLateness); until.After(w.lateDeadlineUntil) {
+		w.lateDeadlineUntil = until
+	}
+}
+
+// LateDeadlineUntil returns until when a deadline on the clock of a former incarnation may arrive, which lies far ahead
+// of that of the current one and gives it the longest lease.
+func (w *Worker) LateDeadlineUntil() time.Time { return w.lateDeadlineUntil }
+
 // PollSent records that a poll is in flight.
 func (w *Worker) PollSent() { w.pollsInFlight++ }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -116,6 +116,18 @@
 			w.Lease.EndNow(wt.Now)
 		}
 		wt.pollFailed(w, verdict)' $dispatcher 'TestWorkerThatRefusesConnections'
+mutant "fence: only an accepted stop counts as acknowledged" internal/fleet/reconciler/order.go \
+  'case orderer.Accepted, orderer.Superseded:' 'case orderer.Accepted, orderer.Superseded, orderer.Lapsed, orderer.Unhealthy, orderer.NoListener:' \
+  $dispatcher 'TestStopThatIsNotAcknowledged'
+mutant "fence: a list of machines ends no run of the worker's next incarnation" internal/fleet/evacuator/evacuator.go \
+  ' || worker.Incarnation != d.incarnation' '' $dispatcher 'TestListOfUpkeepEndsNoRun'
+mutant "fence: nothing is given up before its lease has ended" internal/fleet/monitor/monitor.go \
+  'return w.Lease.HasExpired(confirmedAt) && now' 'return (w.Lease.HasExpired(confirmedAt) || now.Sub(w.RepliedAt) > 2600*time.Millisecond) && now' \
+  $dispatcher 'TestTasksWaitForEndOfLease'
+mutant "fence: a worker is known while a late deadline may reach it" internal/fleet/monitor/monitor.go \
+  ' || isOutstanding(w.lostDeadlineAt)' '' $dispatcher 'TestLatePollReachesWorker'
+mutant "fence: a late deadline counts also if it came in an outage" internal/fleet/watcher/watcher.go \
+  'if until.IsZero() {' 'if !until.After(wt.Now) {' $dispatcher 'TestLatePollInLongOutage'
 mutant "fence: a missing entry does not show that a draining worker has left" internal/fleet/monitor/monitor.go \
   'return w.Lease.HasExpired(confirmedAt) && now' 'return (w.Lease.HasExpired(confirmedAt) || w.Info.Draining && !w.IsListed) && now' $dispatcher 'TestWorkerLeavesInSteps'
 mutant "fence: host list entry and replies are of one incarnation" internal/fleet/monitor/monitor.go \
@@ -179,7 +191,7 @@
 mutant "fence: a draining worker is closed only when no late start may arrive" internal/fleet/monitor/monitor.go \
   ' && len(w.LostStarts(now)) == 0' '' $dispatcher 'TestLateStartAtWorker'
 mutant "fence: a draining worker is closed only when no late start of a former holder may arrive" internal/fleet/monitor/monitor.go \
-  ' && now.Sub(claimedAt) >= maxLateness' '' $dispatcher 'TestLateStartAtWorker'
+  ' && now.Sub(claimedAt) >= MaxLateness' '' $dispatcher 'TestLateStartAtWorker'
 mutant "fence: a worker whose drain was withdrawn gets tasks only after an append" internal/fleet/watcher/watcher.go \
   'w.IsClosed, w.IsEnrolled, w.RosterBatch = isClosed, false, 0' 'w.IsClosed = isClosed' $dispatcher 'TestWithdrawnDrain'
 mutant "fence: tasks move off a worker that drains" internal/fleet/evacuator/moves.go \
