--- a/internal/entry/announcer/announcer_test.go
+++ b/internal/entry/announcer/announcer_test.go
@@ -13,14 +13,14 @@
 	"lentilrock.example/internal/entry/announcer"
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/journaler"
-	"lentilrock.example/internal/standin/fencer"
+	"lentilrock.example/internal/standin/keeper"
 )
 
 // TestRun guards against a host that is not announced again after an outage of the store, and
 // against announcements that are repeated too often or too rarely.
 func TestRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := fencer.NewStore(clockwork.NewRealClock())
+		store := keeper.NewStore(clockwork.NewRealClock())
 		store.SetDown(true)
 		a := announcer.New(announcer.Options{
 			Self: journaler.Host{Name: "h-1", Cores: 0.4}, Store: store, Clock: clockwork.NewRealClock(), Logger: zap.NewNop(),
--- a/internal/entry/coordinator/coordinator_test.go
+++ b/internal/entry/coordinator/coordinator_test.go
@@ -27,6 +27,7 @@
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/standin/fencer"
+	"lentilrock.example/internal/standin/keeper"
 )
 
 const taskDuration = 400 * time.Millisecond
@@ -170,7 +171,7 @@
 // cell is a set of hosts with a shared store and fleet, in a synctest bubble.
 type cell struct {
 	t         *testing.T
-	store     *fencer.Store
+	store     *keeper.Store
 	network   network
 	fleet     *fencer.Fleet
 	hosts     []*coordinator.Coordinator
@@ -196,7 +197,7 @@
 
 func newCell(t *testing.T, hosts int) *cell {
 	clock := clockwork.NewRealClock()
-	c := &cell{t: t, store: fencer.NewStore(clock)}
+	c := &cell{t: t, store: keeper.NewStore(clock)}
 	c.core, c.logs = observer.New(zap.InfoLevel)
 	c.fleet = fencer.NewFleet(clock, func(describer.TaskRef) time.Duration { return taskDuration },
 		func(describer.TaskRef) describer.Resources { return describer.Resources{MilliCPU: 1000} })
--- a/internal/entry/coordinator/former_test.go
+++ b/internal/entry/coordinator/former_test.go
@@ -10,7 +10,7 @@
 
 	"lentilrock.example/internal/entry/storer"
 	"lentilrock.example/internal/fleet/journaler"
-	"lentilrock.example/internal/standin/fencer"
+	"lentilrock.example/internal/standin/keeper"
 )
 
 // claimsTest applies batches of claims to a host, one a second.
@@ -24,7 +24,7 @@
 func newClaimsTest(t *testing.T) *claimsTest {
 	clock := clockwork.NewFakeClock()
 	// A host that leaves does not hold the cell, but reads on.
-	host := New(Options{Name: "self", Incarnation: "x", Store: fencer.NewStore(clock), Clock: clock})
+	host := New(Options{Name: "self", Incarnation: "x", Store: keeper.NewStore(clock), Clock: clock})
 	host.isLeaving = true
 	return &claimsTest{t: t, clock: clock, host: host}
 }
@@ -113,7 +113,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := newClaimsTest(t)
 			clock := clockwork.NewRealClock()
-			c.host = New(Options{Name: "self", Incarnation: "x", Store: fencer.NewStore(clock), Clock: clock})
+			c.host = New(Options{Name: "self", Incarnation: "x", Store: keeper.NewStore(clock), Clock: clock})
 			c.host.isLeaving = true
 			c.apply(c.host.resetClaims, c.batch(c.claim(2, "self")))
 			c.host.isLeaving = false
--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -1,8 +1,7 @@
-// Package fencer simulates, in memory, a platform that enforces fencing tokens. Its workers
-// reject orders with a token below the highest one that they received, and its store rejects
-// appends with an epoch below the newest one. The epoch of the claim, the record that makes one
-// host the leader, is the fencing token. Tests inject faults such as unresponsive workers, lost
-// replies, slow runs and slow appends.
+// Package fencer simulates, in memory, workers and machines of a platform that enforces fencing tokens. Workers
+// reject orders with a token below the highest one that they received. The epoch of the claim, the record that makes
+// one host the leader, is the fencing token. Tests inject faults such as unresponsive workers, lost replies and slow
+// runs.
 //
 // # Usage
 //
@@ -10,7 +9,6 @@
 //	capacity := describer.Resources{MilliCPU: 16000, MemoryMB: 64000}
 //	w := fleet.Add(describer.Worker{ID: "w-1", Capacity: capacity})
 //	w.IsUnresponsive = true
-//	store := fencer.NewStore(clock)
 package fencer
 
 import (
--- a/internal/standin/fencer/store.go
+++ b/internal/standin/keeper/keeper.go
@@ -1,4 +1,12 @@
-package fencer
+// Package keeper simulates, in memory, a store that enforces fences: it rejects appends with an epoch below the newest
+// one. The epoch of the claim, the record that makes one host the leader, is the fencing token. Tests inject faults such as
+// outages, lost replies and slow appends.
+//
+// # Usage
+//
+//	store := keeper.NewStore(clock)
+//	store.SetDown(true)
+package keeper
 
 import (
 	"context"
