Log a job of which nothing runs although a step of it is ready

The holder now logs once a second the job that has had nothing running for the longest time, from 3 s on, with what tells the possible causes apart: runs of a former holder, a start or stop without an end, no room, workers that the advice rules out, requests for advice that take all hosts. A start without a verdict does not count as running. One job at a time is logged, as hundreds wait in an overloaded cell.

--- a/internal/fleet/adviser/adviser.go
+++ b/internal/fleet/adviser/adviser.go
@@ -117,6 +117,9 @@
 	return ids
 }
 
+// QueriedAt returns when the last request was sent; zero if none was.
+func (c *Cache) QueriedAt() time.Time { return c.queriedAt }
+
 // QuerySent records that a request is pending.
 func (c *Cache) QuerySent(now time.Time) { c.isPending, c.queriedAt = true, now }
 
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -35,6 +35,7 @@
 	rotation   rotator.Rotator
 	// round is the current round.
 	round *round
+	idle  idleJobs
 }
 
 // New returns a placer for the jobs of a registrar.
@@ -69,6 +70,7 @@
 	if !hasUnknownRuns {
 		p.placeCopies()
 	}
+	p.reportIdle(hasUnknownRuns, hasUnlistedRuns)
 }
 
 // mayHaveUnknownRuns reports whether a task that a former holder started could be on a worker that
--- a/internal/fleet/requester/requester.go
+++ b/internal/fleet/requester/requester.go
@@ -85,6 +85,9 @@
 	return s.Spec.Charge().Fits(w.FreeCapacityFor(s, now))
 }
 
+// Pending returns the number of requests that are pending.
+func (q *Requester) Pending() int { return q.pending }
+
 // Finish records that a request is no longer pending.
 func (q *Requester) Finish() { q.pending-- }
 
--- a/internal/fleet/tasker/ready.go
+++ b/internal/fleet/tasker/ready.go
@@ -60,6 +60,23 @@
 	return steps
 }
 
+// FirstReady returns the first of the job's steps, of the next maxOffered ones that have tasks left, that is ready; nil
+// if there is none. Its tasks may be running, or may be held up.
+func (j *Job) FirstReady(now time.Time) *Step {
+	if j.IsOver() {
+		return nil
+	}
+	begin, end := j.dueRange(now)
+	looked := 0
+	for number := begin; number < end && looked < maxOffered; number = j.tally.NextOpenStep(number + 1) {
+		looked++
+		if isUnblocked, _ := j.tally.IsUnblocked(number); isUnblocked {
+			return j.step(number)
+		}
+	}
+	return nil
+}
+
 // isReady reports whether the step with a number, whose occurrence is due, has tasks to start, and how many
 // steps it looked at.
 func (j *Job) isReady(number int, now time.Time) (isReady bool, scanned int) {
