--- a/internal/fleet/dispatcher/confirmation_test.go
+++ b/internal/fleet/dispatcher/confirmation_test.go
@@ -7,7 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"lentilrock.example/internal/fleet/describer"
-	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/standin/fencer"
 )
@@ -62,11 +61,7 @@
 // TestSyncKeepsLongestLease guards against a successor that forgets, with the first reply of a worker that has restarted just
 // before, that it may have the longest lease that workers accept.
 func TestSyncKeepsLongestLease(t *testing.T) {
-	c := newCell(t, 2)
-	c.fleet.MaxLease = chaosMaxLease
-	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
-	c.claim()
-	c.run(time.Minute)
+	c := newLongHeldCell(t)
 	poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
 	poll.Wait = 0
 	c.fleet.Restart("w-0", 2)
@@ -86,11 +81,7 @@
 // TestLatePollGrantsLongestLease guards against a holder that forgets a poll without a reply that may reach the worker's next
 // life seconds later: its deadline on the former clock gives that life the longest lease.
 func TestLatePollGrantsLongestLease(t *testing.T) {
-	c := newCell(t, 2)
-	c.fleet.MaxLease = chaosMaxLease
-	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
-	c.claim()
-	c.run(time.Minute)
+	c := newLongHeldCell(t)
 	poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
 	poll.Wait = 0
 	require.Zero(t, poll.Acknowledged)
--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -102,6 +102,16 @@
 	c.d = dispatcher.New(options, c.state, c.clock.Now())
 }
 
+// newLongHeldCell returns a cell that has been held for a minute and whose workers accept longer leases than usual.
+func newLongHeldCell(t testing.TB) *cell {
+	c := newCell(t, 2)
+	c.fleet.MaxLease = chaosMaxLease
+	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: usualLease}
+	c.claim()
+	c.run(time.Minute)
+	return c
+}
+
 // append adds records to the log, applies them to the state and returns the changed entries.
 func (c *cell) append(records ...journaler.Record) []*journaler.Entry {
 	var changed []*journaler.Entry
@@ -129,6 +139,20 @@
 	}
 }
 
+// loseStart submits a job of one task and returns its start, which does not reach the worker and gets no reply. The order to
+// stop the run comes next.
+func (c *cell) loseStart() orderer.Start {
+	c.submit("a", describer.Queue{}, tasks(1))
+	c.save()
+	c.d.Tick(c.clock.Now())
+	orders := c.d.TakeOrders()
+	require.Len(c.t, orders, 1)
+	start, isStart := orders[0].(orderer.Start)
+	require.True(c.t, isStart)
+	c.d.StartAnswered(c.clock.Now(), start, orderer.Unknown)
+	return start
+}
+
 func (c *cell) cancel(id describer.JobID) {
 	record, err := journaler.NewCancel(id, journaler.Cancel{At: c.clock.Now()})
 	require.NoError(c.t, err)
--- a/internal/fleet/dispatcher/silence_test.go
+++ b/internal/fleet/dispatcher/silence_test.go
@@ -7,7 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"lentilrock.example/internal/fleet/describer"
-	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/leaser"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/standin/fencer"
@@ -53,11 +52,7 @@
 // TestLatePollReachesWorkerThatWasForgotten guards against a holder that removes a worker while a poll without a reply may
 // reach its next life: its deadline on the former clock gives that life the longest lease.
 func TestLatePollReachesWorkerThatWasForgotten(t *testing.T) {
-	c := newCell(t, 2)
-	c.fleet.MaxLease = chaosMaxLease
-	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
-	c.claim()
-	c.run(time.Minute)
+	c := newLongHeldCell(t)
 	poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
 	poll.Wait = 0
 	require.Zero(t, poll.Acknowledged)
@@ -88,11 +83,7 @@
 		t.Run(verdict.String(), func(t *testing.T) {
 			c := newCell(t, 2)
 			c.run(leaseOfFormerHolder)
-			c.submit("a", describer.Queue{}, tasks(1))
-			c.save()
-			c.d.Tick(c.clock.Now())
-			start := c.d.TakeOrders()[0].(orderer.Start)
-			c.d.StartAnswered(c.clock.Now(), start, orderer.Unknown)
+			c.loseStart()
 			for range 1000 {
 				for _, order := range c.d.TakeOrders() {
 					if stop, isStop := order.(orderer.Stop); isStop {
@@ -117,11 +108,7 @@
 // TestLatePollInLongOutageGrantsLongestLease guards against a holder that forgets a late poll, as it learned of the loss and of
 // the restart while it decided nothing.
 func TestLatePollInLongOutageGrantsLongestLease(t *testing.T) {
-	c := newCell(t, 2)
-	c.fleet.MaxLease = chaosMaxLease
-	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
-	c.claim()
-	c.run(time.Minute)
+	c := newLongHeldCell(t)
 	c.isStoreDown = true
 	c.run(9 * time.Second)
 	poll, _ := c.d.NextPoll(c.clock.Now(), "w-0")
@@ -154,11 +141,7 @@
 		t.Run(verdict.String(), func(t *testing.T) {
 			c := newCell(t, 2)
 			c.run(leaseOfFormerHolder)
-			c.submit("a", describer.Queue{}, tasks(1))
-			c.save()
-			c.d.Tick(c.clock.Now())
-			start := c.d.TakeOrders()[0].(orderer.Start)
-			c.d.StartAnswered(c.clock.Now(), start, orderer.Unknown)
+			start := c.loseStart()
 			for _, order := range c.d.TakeOrders() {
 				c.d.StopAnswered(c.clock.Now(), order.(orderer.Stop), verdict)
 			}
