--- a/review/driver-2/harness.go
+++ b/review/driver-2/harness.go
@@ -42,6 +42,8 @@
 	restartPause = 300 * time.Millisecond
 	// portsPerHost are the ports of callers and readiness, and a range for peers.
 	portsPerHost = 8
+	firstPort    = 12_000
+	lastPort     = 30_000
 	holdMax      = 6 * time.Second
 	graceSeconds = 6
 	dataCentre   = "erie-a"
@@ -106,7 +108,7 @@
 
 // startHosts starts entry hosts, and returns once each of them is ready and one of them holds the claim.
 func (c *cell) startHosts(ctx context.Context, count int) error {
-	base := 12_000 + os.Getpid()%1000*10
+	base := firstPort + os.Getpid()%500*4*portsPerHost
 	for i := range count {
 		port, err := freePorts(&base)
 		if err != nil {
@@ -170,7 +172,7 @@
 
 // freePorts returns the first of portsPerHost ports that are free, and moves base behind them.
 func freePorts(base *int) (int, error) {
-	for ; *base < 30_000; *base += portsPerHost {
+	for ; *base < lastPort; *base += portsPerHost {
 		var listeners []net.Listener
 		for port := *base; port < *base+portsPerHost; port++ {
 			listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
@@ -337,3 +339,14 @@
 	}
 	return ctx.Err()
 }
+
+// runningOn returns the tasks that run on a worker; none if the worker has just been replaced.
+func (c *cell) runningOn(worker string) (tasks []string) {
+	// The emulated fleet panics for a worker that is gone.
+	defer func() {
+		if recover() != nil {
+			tasks = nil
+		}
+	}()
+	return c.platform.Fleet.Running(worker)
+}
--- a/review/driver-2/relapse.go
+++ b/review/driver-2/relapse.go
@@ -89,7 +89,7 @@
 
 // taskOn returns the task that runs on a worker.
 func (c *cell) taskOn(worker string) (string, error) {
-	tasks := c.platform.Fleet.Running(worker)
+	tasks := c.runningOn(worker)
 	if len(tasks) != 1 {
 		return "", fmt.Errorf("%s runs %d tasks", worker, len(tasks))
 	}
@@ -99,7 +99,7 @@
 // workerOf returns the worker that runs a task.
 func (c *cell) workerOf(task string) (string, bool) {
 	for _, info := range c.platform.Fleet.Workers() {
-		if slices.Contains(c.platform.Fleet.Running(info.ID), task) {
+		if slices.Contains(c.runningOn(info.ID), task) {
 			return info.ID, true
 		}
 	}
--- a/review/driver-2/stall.go
+++ b/review/driver-2/stall.go
@@ -83,7 +83,7 @@
 		time.Sleep(20 * time.Millisecond)
 		now := time.Now()
 		for _, info := range c.platform.Fleet.Workers() {
-			for _, task := range c.platform.Fleet.Running(info.ID) {
+			for _, task := range c.runningOn(info.ID) {
 				seenAt[task] = now
 			}
 		}
--- a/review/driver-2/upkeep.go
+++ b/review/driver-2/upkeep.go
@@ -157,7 +157,7 @@
 func (p *machineProxy) sample() {
 	now, at := time.Now(), make(map[string]string)
 	for _, info := range p.cell.platform.Fleet.Workers() {
-		for _, task := range p.cell.platform.Fleet.Running(info.ID) {
+		for _, task := range p.cell.runningOn(info.ID) {
 			if strings.HasPrefix(task, servingJob) {
 				at[task] = info.ID
 			}
