--- a/review/driver-2/harness.go
+++ b/review/driver-2/harness.go
@@ -32,6 +32,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/standin/fencer"
 	"lentilrock.example/platform/emulator"
 )
 
@@ -350,3 +351,14 @@
 	}()
 	return c.platform.Fleet.Running(worker)
 }
+
+const (
+	// restartTime and waitTime are those of the rule LOST for a task that lasts: from 6 s after its last run, nothing
+	// of it runs for 3 s. calmTime is how long before these 3 s there may be no impairment.
+	restartTime = 6 * time.Second
+	waitTime    = 3 * time.Second
+	calmTime    = 4 * time.Second
+)
+
+// failAll makes all runs on a worker fail when their time is over.
+func failAll(w *fencer.Worker) { w.Fails = true }
