--- a/review/driver-2/harness.go
+++ b/review/driver-2/harness.go
@@ -92,12 +92,22 @@
 
 // newCell starts a platform with workers. The options may leave Clock empty.
 func newCell(r *recorder, options emulator.Options, workers int) (*cell, error) {
+	return newCellWith(r, options, workers, nil)
+}
+
+// newCellWith is like newCell. If proxied is not nil, the function that it returns tells the address under which a worker
+// is listed.
+func newCellWith(r *recorder, options emulator.Options, workers int, proxied func(c *cell) func(string, netip.AddrPort) netip.AddrPort) (*cell, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
 	options.Clock = clockwork.NewRealClock()
-	c := &cell{recorder: r, platform: emulator.New(options), dir: dir, client: &http.Client{Timeout: 4 * time.Second}}
+	c := &cell{recorder: r, dir: dir, client: &http.Client{Timeout: 4 * time.Second}}
+	if proxied != nil {
+		options.ListedAddress = proxied(c)
+	}
+	c.platform = emulator.New(options)
 	if c.store, err = c.platform.Serve("127.0.0.1:0"); err != nil {
 		return nil, err
 	}
