--- a/review/driver-2/loops.go
+++ b/review/driver-2/loops.go
@@ -21,9 +21,9 @@
 	soundTasks = 12
 	// faultyJobs are the jobs whose tasks fail soon after each start.
 	faultyJobs  = 2
-	faultyTasks = 20
-	loopCPU     = 1500
-	loopTime    = 70 * time.Second
+	faultyTasks = 24
+	loopCPU     = 1300
+	loopTime    = 95 * time.Second
 )
 
 // playLoops runs a job whose tasks last for 20 to 40 s before they fail, beside two jobs whose tasks fail 1 to 3 s after each
@@ -83,7 +83,7 @@
 		for i := range soundTasks {
 			task := fmt.Sprintf("%s.0.0.%d", soundJob, i)
 			if last, isKnown := seenAt[task]; isKnown && now.Sub(last) >= restartTime+waitTime {
-				broken = append(broken, fmt.Sprintf("%s does not run since %.1f s, while %d tasks of 1.5 cores run on 12 workers of 16 cores", task, now.Sub(last).Seconds(), used))
+				broken = append(broken, fmt.Sprintf("%s does not run since %.1f s, while %d tasks of 1.3 cores run on 12 workers of 16 cores", task, now.Sub(last).Seconds(), used))
 				c.log("LOST: %s", broken[len(broken)-1])
 				seenAt[task] = now
 			}
