reconciler: Confine a task to the worker that may still carry out its start

Cause: the stop and the fencing token that refuse a late start are known to one incarnation of a worker only. Resolve took the run for one that never runs, in any incarnation, and let the task start anywhere.

Change: when a run is resolved whose start was neither confirmed nor refused, its task is confined to the run's worker until the start can't be carried out any more (12 s after it was sent), or has arrived. On that worker a crash ends both runs, so that the late start meets none elsewhere. It holds for members of gangs, which are placed first, and for starts that are in flight when their worker restarts. Left out are speculative steps, queues with advice (a later incarnation refuses the ticket), machines that the platform has taken down, and workers that have not replied since the start was sent: they were lost with it. Counters starts_unanswered and tasks_confined, histogram confined_wait_seconds, two log lines and the incarnation in the line on an unaccepted start tell which start, which worker and life, and for how long a task waits.

TestStartOfResolvedRunIsNotForgotten expected that the task starts elsewhere as soon as the second incarnation has acknowledged the stop, while the start may reach the third. That is this fault with one more restart. It now requires that the task starts nowhere else before the start can't be carried out any more, that the third incarnation refuses it, and that the task starts then.

--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -204,6 +204,7 @@
 				e.reconciler.Resolve(r)
 			}
 			worker.Lease.EndNow(e.Now)
+			e.reconciler.WorkerGone(id)
 		default:
 			continue
 		}
--- a/internal/fleet/placer/delay.go
+++ b/internal/fleet/placer/delay.go
@@ -54,18 +54,25 @@
 	if !s.Spec.SameRack || s.Spec.LongRunning {
 		return candidates, false
 	}
-	racks := make(map[string][]*monitor.Worker)
+	racks, preferred := make(map[string][]*monitor.Worker), s.Spec.DataRack
 	for _, w := range candidates {
 		racks[w.Info.Rack] = append(racks[w.Info.Rack], w)
 	}
+	confinedTo, isConfined := selector.ConfinedRack(s, candidates, p.Now)
+	if isConfined {
+		preferred = confinedTo
+	}
 	for _, w := range candidates {
 		// Each rack is looked at once, at its first worker.
 		if workers := racks[w.Info.Rack]; workers[0] == w && selector.HasRoom(s, workers, p.Now) {
-			if chosen == nil || w.Info.Rack == s.Spec.DataRack {
+			if chosen == nil || w.Info.Rack == preferred {
 				chosen = workers
 			}
 		}
 	}
+	if isConfined && (chosen == nil || chosen[0].Info.Rack != preferred) {
+		return candidates, false
+	}
 	if chosen != nil || !selector.HasRoom(s, candidates, p.Now) {
 		if chosen == nil {
 			chosen = candidates
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -45,6 +45,9 @@
 		}
 	}
 	if r == nil {
+		if verdict != orderer.Unknown {
+			s.startArrived(start.Worker.ID, start.Task, start.Run)
+		}
 		if w != nil && verdict == orderer.Unknown {
 			// The run is resolved in a later incarnation, but the start may reach the one after that.
 			w.RecordLostStart(monitor.LostStart{Ref: start.Task, Number: start.Run, Charge: s.chargeOf(w, start.Task), Owner: s.ownerOf(w, start.Task), SentAt: start.SentAt})
@@ -53,7 +56,7 @@
 	}
 	if verdict != orderer.Accepted {
 		s.Report("A worker did not accept a start.", "task", start.Task.String(), "run", start.Run,
-			"worker", w.Info.ID, "verdict", verdict.String())
+			"worker", w.Info.ID, "incarnation", w.Incarnation, "verdict", verdict.String())
 	}
 	switch verdict {
 	case orderer.Accepted:
@@ -62,6 +65,7 @@
 	case orderer.Unknown:
 		if r.ConfirmedAt.IsZero() {
 			w.HasUnconfirmedStart = true
+			s.Options.Count("starts_unanswered")
 			w.RecordLostStart(monitor.LostStart{Ref: r.Ref, Number: r.Number, Charge: r.Charge, Owner: r.Owner, SentAt: r.SentAt})
 			s.Stop(r)
 		}
@@ -85,7 +89,7 @@
 		}
 		t.NotBefore = s.Now.Add(taskRetryPause)
 	}
-	s.Resolve(r)
+	s.resolve(r)
 }
 
 // StopLostStarts stops the runs whose starts got no reply, as a worker that has restarted does not refuse one that
--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -41,6 +41,8 @@
 	*registrar.Registrar
 	// ledger attributes failures to workers or jobs.
 	ledger breaker.Ledger
+	// confined are the tasks with starts that may still be carried out although their runs are resolved.
+	confined []*tasker.Task
 }
 
 // New returns a reconciler for the jobs and workers of a registrar.
@@ -52,6 +54,7 @@
 	r, found := w.Runs[monitor.RunKey{Ref: running.Task, Number: running.Run}]
 	if !found {
 		r = s.Adopt(w, running)
+		s.startArrived(w.Info.ID, running.Task, running.Run)
 	}
 	if r.ConfirmedAt.IsZero() {
 		r.ConfirmedAt = s.Now
@@ -159,9 +162,15 @@
 	}
 }
 
-// Resolve removes a run that is not running and never will be. The caller must be certain of
-// that: the task may start elsewhere at once.
+// Resolve removes a run that is not running and never will be, unless a later incarnation of its worker carries out its
+// start. The caller must be certain of that: the task may start again at once.
 func (s *Reconciler) Resolve(r *tasker.Run) {
+	s.confine(r)
+	s.resolve(r)
+}
+
+// resolve removes a run that is not running and never will be in any incarnation of its worker, or that confines its task.
+func (s *Reconciler) resolve(r *tasker.Run) {
 	w, found := s.Workers[r.Worker]
 	if found {
 		w.Remove(r)
@@ -203,7 +212,11 @@
 			s.countResult(w, t, result)
 		}
 	}
+	s.startArrived(w.Info.ID, result.Task, result.Run)
 	if r, found := w.Runs[monitor.RunKey{Ref: result.Task, Number: result.Run}]; found {
+		if r.ConfirmedAt.IsZero() {
+			r.ConfirmedAt = s.Now
+		}
 		s.Resolve(r)
 	}
 }
--- a/internal/fleet/tasker/task.go
+++ b/internal/fleet/tasker/task.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lentilrock.example/internal/fleet/confiner"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/estimator"
 	"lentilrock.example/internal/fleet/historian"
@@ -34,14 +35,15 @@
 	// IsHeld reports that a run of the task was lost without a result, and that the claim was not confirmed since:
 	// a later holder may have acknowledged its result.
 	IsHeld bool
-	// UnplacedSince is when placing the task first failed after its last start; zero if it has not
-	// failed. It is set for long-running tasks only.
+	// UnplacedSince is when placing a long-running task first failed after its last start; zero if it has not.
 	UnplacedSince time.Time
 	// Moves counts the runs that were stopped as their worker was slow. The task does not start on MovedFrom, the last of these
 	// workers, or another slow one before MovedUntil, as room is reserved elsewhere.
 	Moves      int
 	MovedFrom  string
 	MovedUntil time.Time
+	// Confiner has the starts of the task that may still be carried out although their runs are resolved.
+	Confiner confiner.Confiner
 	// history is that of the task, unless it belongs to a gang.
 	history historian.History
 	// runs are all runs of the task that may be active.
@@ -78,8 +80,7 @@
 	OrderedPercentAt time.Time
 	Stopping         bool
 	StopSentAt       time.Time
-	// StopAckedAt is when the worker acknowledged the stop. The next poll of its inventory shows
-	// whether the run is gone.
+	// StopAckedAt is when the worker acknowledged the stop. The next poll shows whether the run is gone.
 	StopAckedAt time.Time
 }
 
@@ -177,8 +178,7 @@
 // SaveCheckpoint records the newest checkpoint of the task, or of its gang.
 func (t *Task) SaveCheckpoint(value string) { t.record().SaveCheckpoint(value) }
 
-// Checkpoint returns the checkpoint from which the next run resumes; empty means that it starts
-// from the beginning.
+// Checkpoint returns the checkpoint from which the next run resumes; empty means from the beginning.
 func (t *Task) Checkpoint() string { return t.record().Checkpoint() }
 
 // Fail records that a run failed on a worker and returns the number of failed runs of the task, or
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -141,6 +141,7 @@
 		wt.tickWorker(w)
 	}
 	wt.removeExpired()
+	wt.reconciler.EndConfinements()
 }
 
 // tickWorker resolves the runs of a worker whose lease has expired, and repeats its unacknowledged stops.
