persister, reconciler: Let a successor know of starts without a reply

What callers saw: a task ran on two workers at the same time after a takeover: the former holder's start got no reply, its successor started the task elsewhere, and the worker carried out the former start in its next incarnation.

Cause: starts without a reply were known to the memory of one holder only.

Change: a record (key "l") lists the starts that may still be carried out, with the time that remains. It is written with the next batch after a start got no reply, and once more when none is left. A successor counts the remaining time from the last record that it read, confines the tasks and stops the runs in the next incarnation of their workers. A start that its worker has carried out leaves the list.

Not covered: a start that is in flight when its holder is killed, or whose record is not durable then.

Evidence: TestSuccessorConfinesTaskWithLostStart fails without the restored starts ("tasks ran twice at a time") and passes with them.

--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -311,7 +311,7 @@
 // Records that can't be encoded are reported to the log and left out.
 func (d *Dispatcher) TakeProgress() ([]journaler.Record, int64) {
 	r := d.registrar
-	records, batch, err := r.Persister.Take(r.Options.Epoch, r.Ordered)
+	records, batch, err := r.Persister.Take(r.Options.Epoch, r.Now, r.Ordered)
 	if err != nil {
 		r.Report("Part of the progress can't be encoded and is not persisted.", "error", err.Error())
 	}
--- a/internal/fleet/dispatcher/late_test.go
+++ b/internal/fleet/dispatcher/late_test.go
@@ -132,3 +132,21 @@
 	c.requireInvariants()
 	require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 }
+
+// TestSuccessorConfinesTaskWithLostStart guards against a task that runs twice, as a successor starts it anywhere that knows
+// nothing of a start without a reply, and the start is carried out in the worker's next incarnation.
+func TestSuccessorConfinesTaskWithLostStart(t *testing.T) {
+	c, lost := newCellWithLostStart(t, tasks(1))
+	c.save()
+	c.clock.Advance(5 * tickInterval)
+	c.options.FormerSeenAt = c.clock.Now()
+	c.claim()
+	c.run(time.Second)
+	require.Greater(t, c.lastStart().Run, lost.Run, "the task has started again")
+	c.fleet.Restart(lost.Worker.ID, 2)
+	c.fleet.Start(t.Context(), lost)
+	c.run(40 * time.Second)
+	c.requireInvariants()
+	require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+	require.Empty(t, c.state.LateStarts, "the record lists a start that can't be carried out any more")
+}
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -397,7 +397,9 @@
 	Drains map[string]Drain
 	// Waves has the progress of waves, by number.
 	Waves map[int64]WaveProgress
-	// offsets has the offsets of the newest records of the roster, the hosts and the drains, by key.
+	// LateStarts are the starts without a reply that may have been carried out after the newest record of them.
+	LateStarts []LateStart
+	// offsets has the offsets of the newest records of the roster, the late starts, the hosts and the drains, by key.
 	offsets map[string]int64
 	// rosters are the parts of the newest roster; only the first one is used if it has no others.
 	rosters [rosterParts]Roster
@@ -438,6 +440,8 @@
 		return nil, s.applyHeartbeat(r, offset)
 	case IsRoster(r):
 		return nil, s.applyRoster(r, offset)
+	case r.Key == lateStartsKey:
+		return nil, s.applyLateStarts(r, offset)
 	case strings.HasPrefix(r.Key, wavePrefix):
 		return nil, s.applyWave(r, offset)
 	case strings.HasPrefix(r.Key, drainPrefix):
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -276,6 +276,11 @@
 	w.lostStarts = w.lostStarts[max(len(w.lostStarts)-maxRuns, 0):]
 }
 
+// StartArrived drops a start that the worker has carried out or refused: it is carried out once.
+func (w *Worker) StartArrived(ref describer.TaskRef, number int64) {
+	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return s.Ref == ref && s.Number == number })
+}
+
 // LostStarts returns the starts without a reply that may still be carried out.
 func (w *Worker) LostStarts(now time.Time) []LostStart {
 	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return now.Sub(s.SentAt) >= MaxLateness })
--- a/internal/fleet/persister/persister.go
+++ b/internal/fleet/persister/persister.go
@@ -8,7 +8,7 @@
 //	var s persister.Persister
 //	s.MarkChanged(job)
 //	worker.Results.AwaitBatch(end.Number, s.Batch())
-//	records, batch, err := s.Take(epoch, workers)
+//	records, batch, err := s.Take(epoch, now, workers)
 //	// append them
 //	s.MarkDurable(batch, workers)
 package persister
@@ -16,6 +16,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -38,6 +39,9 @@
 	taken         int64
 	saved         int64
 	isRosterStale bool
+	// areLateStartsStale reports that the starts that may still be carried out are to be persisted, and hasLateStarts that
+	// the newest record lists some.
+	areLateStartsStale, hasLateStarts bool
 	// forgotten are the jobs whose progress records are to be removed.
 	forgotten []describer.JobID
 	// waves are the waves whose progress is to be persisted.
@@ -55,6 +59,15 @@
 // MarkRosterChanged records that the roster must be persisted again.
 func (s *Persister) MarkRosterChanged() { s.isRosterStale = true }
 
+// MarkLateStartsChanged records that the starts that may still be carried out must be persisted.
+func (s *Persister) MarkLateStartsChanged() { s.areLateStartsStale = true }
+
+// RestoreLateStarts records that the newest record lists starts.
+func (s *Persister) RestoreLateStarts() { s.hasLateStarts = true }
+
+// HasLateStarts reports whether the newest record lists starts that may still be carried out.
+func (s *Persister) HasLateStarts() bool { return s.hasLateStarts }
+
 // Forget records that the progress of jobs must be removed; their other records are gone already.
 func (s *Persister) Forget(ids []describer.JobID) { s.forgotten = append(s.forgotten, ids...) }
 
@@ -68,7 +81,7 @@
 
 // HasChanges reports whether there are changes that Take has not returned.
 func (s *Persister) HasChanges() bool {
-	return len(s.changed) > 0 || s.isRosterStale || len(s.forgotten) > 0 || len(s.waves) > 0
+	return len(s.changed) > 0 || s.isRosterStale || s.areLateStartsStale || len(s.forgotten) > 0 || len(s.waves) > 0
 }
 
 // Batch returns the batch with which all changes so far become durable.
@@ -88,7 +101,7 @@
 // Take returns the records of the changes since the last call, and the number of their batch. They may be
 // appended in parts, in their order. If records can't be encoded, it returns the other ones with the joined
 // errors.
-func (s *Persister) Take(epoch int64, workers []*monitor.Worker) ([]journaler.Record, int64, error) {
+func (s *Persister) Take(epoch int64, now time.Time, workers []*monitor.Worker) ([]journaler.Record, int64, error) {
 	s.taken++
 	records, jobErrs := s.jobRecords(epoch, workers)
 	if s.isRosterStale && sizeOf(records) > maxAtomicBytes {
@@ -105,7 +118,14 @@
 	s.forgotten = nil
 	waves, waveErrs := s.waveRecords(epoch)
 	records = append(records, waves...)
-	errs := errors.Join(jobErrs, waveErrs)
+	lateErr := error(nil)
+	if s.areLateStartsStale {
+		var late journaler.Record
+		if late, lateErr = s.takeLateStarts(epoch, now, workers); lateErr == nil {
+			records = append(records, late)
+		}
+	}
+	errs := errors.Join(jobErrs, waveErrs, lateErr)
 	if s.isRosterStale {
 		roster, err := s.takeRoster(epoch, workers)
 		if err != nil {
--- a/internal/fleet/reconciler/confine.go
+++ b/internal/fleet/reconciler/confine.go
@@ -2,21 +2,22 @@
 
 import (
 	"slices"
+	"time"
 
 	"lentilrock.example/internal/fleet/confiner"
 	"lentilrock.example/internal/fleet/describer"
+	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/tasker"
 )
 
-// confine keeps the task of a run on the run's worker for as long as the worker may still carry out the start. A worker that
-// has not replied since the start was sent is left out: it was lost with the start, whose deadline has passed there. So is one
-// of a queue with advice, as a later incarnation of the worker refuses the ticket of the start.
+// confine keeps the task of a resolved run on the run's worker for as long as the worker may still carry out the start. A
+// worker that has not replied since the start was sent is left out: it was lost with the start, whose deadline has passed there.
 func (s *Reconciler) confine(r *tasker.Run) {
 	w, found := s.Workers[r.Worker]
 	t, until := r.Task, r.SentAt.Add(monitor.MaxLateness)
 	mayArrive := found && r.ConfirmedAt.IsZero() && w.RepliedAt.After(r.SentAt) && s.Now.Before(until)
-	if !mayArrive || t == nil || t.Done || t.Step.Spec.Speculative || r.Job.Queue.NeedsAdvice() {
+	if !mayArrive || t == nil || !mayConfine(t) {
 		return
 	}
 	s.Confine(t, confiner.Start{Worker: w.Info.ID, Number: r.Number, Until: until})
@@ -34,12 +35,49 @@
 }
 
 // startArrived records that a worker has carried out a start or refused it.
-func (s *Reconciler) startArrived(worker string, ref describer.TaskRef, number int64) {
+func (s *Reconciler) startArrived(w *monitor.Worker, ref describer.TaskRef, number int64) {
+	w.StartArrived(ref, number)
+	if t := s.taskOf(ref); t != nil {
+		t.Confiner.Arrived(w.Info.ID, number)
+	}
+}
+
+// recordLostStart records that a start got no reply. A successor learns of it with the next batch.
+func (s *Reconciler) recordLostStart(w *monitor.Worker, ref describer.TaskRef, number int64, sentAt time.Time) {
+	w.RecordLostStart(monitor.LostStart{Ref: ref, Number: number, Charge: s.chargeOf(w, ref), Owner: s.ownerOf(w, ref), SentAt: sentAt})
+	s.Persister.MarkLateStartsChanged()
+}
+
+// RestoreLateStart records a start of a former holder that its worker may still carry out, for a time after the former
+// holder's last record.
+func (s *Reconciler) RestoreLateStart(late journaler.LateStart) {
+	until := s.FormerSeenAt.Add(min(late.Remaining, monitor.MaxLateness))
+	if late.Run <= 0 || late.Run > describer.MaxRun || !s.Now.Before(until) {
+		return
+	}
+	if w, found := s.Workers[late.Worker]; found {
+		s.recordLostStart(w, late.Ref(), late.Run, until.Add(-monitor.MaxLateness))
+	}
+	t := s.taskOf(late.Ref())
+	if t == nil || !mayConfine(t) {
+		return
+	}
+	t.Keep()
+	s.Confine(t, confiner.Start{Worker: late.Worker, Number: late.Run, Until: until})
+}
+
+// taskOf returns a task of a job that has not ended, or nil.
+func (s *Reconciler) taskOf(ref describer.TaskRef) *tasker.Task {
 	if j, found := s.Jobs[ref.Job]; found {
-		if t := j.Task(ref); t != nil {
-			t.Confiner.Arrived(worker, number)
-		}
+		return j.Task(ref)
 	}
+	return nil
+}
+
+// mayConfine reports whether a second run of a task would do harm, and a later incarnation of a worker would accept one. It
+// refuses the ticket that the starts of a queue with advice carry.
+func mayConfine(t *tasker.Task) bool {
+	return !t.Done && !t.Step.Spec.Speculative && !t.Step.Job.Queue.NeedsAdvice()
 }
 
 // WorkerGone lets tasks start elsewhere that are confined to a worker which never runs again.
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -45,12 +45,13 @@
 		}
 	}
 	if r == nil {
-		if verdict != orderer.Unknown {
-			s.startArrived(start.Worker.ID, start.Task, start.Run)
-		}
-		if w != nil && verdict == orderer.Unknown {
+		switch {
+		case w == nil:
+		case verdict != orderer.Unknown:
+			s.startArrived(w, start.Task, start.Run)
+		default:
 			// The run is resolved in a later incarnation, but the start may reach the one after that.
-			w.RecordLostStart(monitor.LostStart{Ref: start.Task, Number: start.Run, Charge: s.chargeOf(w, start.Task), Owner: s.ownerOf(w, start.Task), SentAt: start.SentAt})
+			s.recordLostStart(w, start.Task, start.Run, start.SentAt)
 		}
 		return
 	}
@@ -66,7 +67,7 @@
 		if r.ConfirmedAt.IsZero() {
 			w.HasUnconfirmedStart = true
 			s.Options.Count("starts_unanswered")
-			w.RecordLostStart(monitor.LostStart{Ref: r.Ref, Number: r.Number, Charge: r.Charge, Owner: r.Owner, SentAt: r.SentAt})
+			s.recordLostStart(w, r.Ref, r.Number, r.SentAt)
 			s.Stop(r)
 		}
 	case orderer.Fenced:
--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -54,10 +54,10 @@
 	r, found := w.Runs[monitor.RunKey{Ref: running.Task, Number: running.Run}]
 	if !found {
 		r = s.Adopt(w, running)
-		s.startArrived(w.Info.ID, running.Task, running.Run)
 	}
-	if r.ConfirmedAt.IsZero() {
+	if !found || r.ConfirmedAt.IsZero() {
 		r.ConfirmedAt = s.Now
+		s.startArrived(w, running.Task, running.Run)
 	}
 	r.Usage, r.Done = running.Usage, running.Percent
 	if r.Task != nil {
@@ -212,7 +212,7 @@
 			s.countResult(w, t, result)
 		}
 	}
-	s.startArrived(w.Info.ID, result.Task, result.Run)
+	s.startArrived(w, result.Task, result.Run)
 	if r, found := w.Runs[monitor.RunKey{Ref: result.Task, Number: result.Run}]; found {
 		if r.ConfirmedAt.IsZero() {
 			r.ConfirmedAt = s.Now
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -94,6 +94,12 @@
 	for _, entry := range jobs {
 		wt.adoptRuns(entry)
 	}
+	if len(wt.State.LateStarts) > 0 {
+		wt.Persister.RestoreLateStarts()
+	}
+	for _, late := range wt.State.LateStarts {
+		wt.reconciler.RestoreLateStart(late)
+	}
 }
 
 // add adds a worker that may have runs of a former holder. These can go on until the authority of the
@@ -142,6 +148,9 @@
 	}
 	wt.removeExpired()
 	wt.reconciler.EndConfinements()
+	if wt.Persister.HasLateStarts() && !slices.ContainsFunc(wt.Ordered, func(w *monitor.Worker) bool { return len(w.LostStarts(wt.Now)) > 0 }) {
+		wt.Persister.MarkLateStartsChanged()
+	}
 }
 
 // tickWorker resolves the runs of a worker whose lease has expired, and repeats its unacknowledged stops.
