watcher: Hold back the acknowledgement of results that a late start may repeat

What callers saw: a task that was done started again: its first start got no reply and was stopped, the second run ended, the holder took note of it, the worker restarted under its id and carried out the first start.

Cause: an end was acknowledged as soon as it was durable. The next incarnation of the worker then repeats a task whose end is noted for good.

Change: the end of a task (done or failed) with a start that its worker may still carry out is acknowledged once it can't. If the worker restarts before, the end is not taken note of, and nothing that counts runs twice; the job's own progress is not affected. Results are acknowledged in their order, so that later ones wait, 200 at most, as a worker lists 500 at a time.

Evidence: both cases of TestEndOfTaskWithLostStartIsAcknowledgedLater fail without the change ("run 1 ... after run 2 ... done true acknowledged") and pass with it.

--- a/internal/fleet/acknowledger/acknowledger.go
+++ b/internal/fleet/acknowledger/acknowledger.go
@@ -1,20 +1,26 @@
 // Package acknowledger decides which results of ended runs a worker may forget: those whose effects
-// are durable.
+// are durable, and whose tasks can't be started again by a start that arrives late.
 //
 // # Usage
 //
 //	if results.Record(end.Number) {
 //		// apply the result
-//		results.AwaitBatch(end.Number, batch)
+//		results.Await(acknowledger.Result{Number: end.Number, Batch: batch})
 //	}
-//	results.MarkDurable(batch)
+//	results.MarkDurable(batch, now)
 //	poll.Acknowledged = results.Unconfirmed()
 package acknowledger
 
-// pendingResult is a result that may be acknowledged once its batch is durable.
-type pendingResult struct {
-	number int64
-	batch  int64
+import "time"
+
+// maxHeld bounds the results that wait for a late start, as a worker lists a limited number of them at a time.
+const maxHeld = 200
+
+// Result is a result that may be acknowledged once its batch is durable, and not before a time.
+type Result struct {
+	Number    int64
+	Batch     int64
+	NotBefore time.Time
 }
 
 // ResultTracker tracks the results that one incarnation of a worker reports. The zero value is that of
@@ -24,7 +30,7 @@
 	acknowledged int64
 	// confirmed is the number up to which the worker has confirmed that it has forgotten the results.
 	confirmed int64
-	pending   []pendingResult
+	pending   []Result
 }
 
 // Record records a result and reports whether it is new.
@@ -36,16 +42,18 @@
 	return true
 }
 
-// AwaitBatch records that a result is persisted with a batch.
-func (e *ResultTracker) AwaitBatch(number, batch int64) {
-	e.pending = append(e.pending, pendingResult{number, batch})
-}
+// Await records what a result waits for.
+func (e *ResultTracker) Await(result Result) { e.pending = append(e.pending, result) }
 
-// MarkDurable records that all batches up to the given one are durable.
-func (e *ResultTracker) MarkDurable(batch int64) {
+// MarkDurable records that all batches up to the given one are durable. A result that may not be acknowledged yet holds back
+// those after it, of which there can only be maxHeld.
+func (e *ResultTracker) MarkDurable(batch int64, now time.Time) {
 	count := 0
-	for count < len(e.pending) && e.pending[count].batch <= batch {
-		e.acknowledged = e.pending[count].number
+	for count < len(e.pending) && e.pending[count].Batch <= batch {
+		if now.Before(e.pending[count].NotBefore) && len(e.pending)-count <= maxHeld {
+			break
+		}
+		e.acknowledged = e.pending[count].Number
 		count++
 	}
 	e.pending = e.pending[count:]
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -343,7 +343,7 @@
 // MarkDurable confirms that all batches up to the given one are persisted. From then on the results
 // of ended runs in them are acknowledged to the workers, which may discard them.
 func (d *Dispatcher) MarkDurable(batch int64) {
-	d.registrar.Persister.MarkDurable(batch, d.registrar.Ordered)
+	d.registrar.Persister.MarkDurable(batch, d.registrar.Now, d.registrar.Ordered)
 }
 
 // removeEndedJobs removes the jobs that have no runs left and whose outcome is persisted. If a
--- a/internal/fleet/dispatcher/late_test.go
+++ b/internal/fleet/dispatcher/late_test.go
@@ -150,3 +150,25 @@
 	require.Equal(t, describer.JobCompleted, c.stateOf("a"))
 	require.Empty(t, c.state.LateStarts, "the record lists a start that can't be carried out any more")
 }
+
+// TestEndOfTaskWithLostStartIsAcknowledgedLater guards against a task that starts again after the holder has taken note that
+// it is done: its lost start is carried out in the worker's next incarnation, before a takeover or after it.
+func TestEndOfTaskWithLostStartIsAcknowledgedLater(t *testing.T) {
+	for name, takesOver := range map[string]bool{"same holder": false, "takeover": true} {
+		t.Run(name, func(t *testing.T) {
+			c, lost := newCellWithLostStart(t, tasks(1))
+			c.runTimes = func(describer.TaskRef) time.Duration { return runTime }
+			c.run(time.Second)
+			if takesOver {
+				c.options.FormerSeenAt = c.clock.Now()
+				c.claim()
+			}
+			c.run(time.Second)
+			require.True(t, c.fleet.IsDone(lost.Task.String()))
+			c.fleet.Restart(lost.Worker.ID, 2)
+			c.fleet.Start(t.Context(), lost)
+			c.run(10 * time.Second)
+			c.requireInvariants()
+		})
+	}
+}
--- a/internal/fleet/persister/persister.go
+++ b/internal/fleet/persister/persister.go
@@ -7,10 +7,10 @@
 //
 //	var s persister.Persister
 //	s.MarkChanged(job)
-//	worker.Results.AwaitBatch(end.Number, s.Batch())
+//	worker.Results.Await(acknowledger.Result{Number: end.Number, Batch: s.Batch()})
 //	records, batch, err := s.Take(epoch, now, workers)
 //	// append them
-//	s.MarkDurable(batch, workers)
+//	s.MarkDurable(batch, now, workers)
 package persister
 
 import (
@@ -224,10 +224,10 @@
 }
 
 // MarkDurable records that all batches up to the given one are durable.
-func (s *Persister) MarkDurable(batch int64, workers []*monitor.Worker) {
+func (s *Persister) MarkDurable(batch int64, now time.Time, workers []*monitor.Worker) {
 	s.saved = max(s.saved, batch)
 	for _, w := range workers {
-		w.Results.MarkDurable(s.saved)
+		w.Results.MarkDurable(s.saved, now)
 		if w.RosterBatch > 0 && w.RosterBatch <= s.saved {
 			w.IsEnrolled, w.RosterBatch = !w.IsClosed, 0
 		}
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lentilrock.example/internal/fleet/acknowledger"
 	"lentilrock.example/internal/fleet/leaser"
 	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/orderer"
@@ -154,6 +155,21 @@
 	return needsPoll
 }
 
+// mayStartAgainUntil returns until when the next incarnation of a worker may carry out another start of the task whose result
+// is given; zero if there is none. A result that is not acknowledged is lost with its worker, so that its task may run again.
+func (wt *Watcher) mayStartAgainUntil(w *monitor.Worker, result orderer.RunResult) time.Time {
+	var until time.Time
+	if result.Kind != orderer.EndDone && result.Kind != orderer.EndFailed {
+		return until
+	}
+	for _, lost := range w.LostStarts(wt.Now) {
+		if end := lost.SentAt.Add(monitor.MaxLateness); lost.Ref == result.Task && end.After(until) {
+			until = end
+		}
+	}
+	return until
+}
+
 // applyResults applies the new results of ended runs at a worker. They are acknowledged, so
 // that the worker may discard them, once the changes that they cause are persisted.
 func (wt *Watcher) applyResults(w *monitor.Worker, results []orderer.RunResult) {
@@ -162,7 +178,7 @@
 			continue
 		}
 		wt.reconciler.ApplyResult(w, result)
-		w.Results.AwaitBatch(result.Number, wt.Persister.Batch())
+		w.Results.Await(acknowledger.Result{Number: result.Number, Batch: wt.Persister.Batch(), NotBefore: wt.mayStartAgainUntil(w, result)})
 	}
-	w.Results.MarkDurable(wt.Persister.LastDurable())
+	w.Results.MarkDurable(wt.Persister.LastDurable(), wt.Now)
 }
