reconciler, connector: Notice a restart in the reply to a start

What callers saw: a task ran twice.

Cause: an accepted start counted as one in the incarnation that the holder knew. Both have the same id.

Change: a start carries a lower bound of the worker's clock. A reply with a lower clock is that of a later incarnation (verdict restarted): the longest lease counts from then on, nothing is acknowledged, no task starts there, and a poll asks for the incarnation at once. If a poll that acknowledges results may still arrive there, the run is stopped before it can end as done; otherwise it goes on, and the poll shows it.

newCellWithLongestLease expects the verdict restarted in place of accepted: the stand-in now tells the two apart.

--- a/internal/fleet/dispatcher/dispatcher_test.go
+++ b/internal/fleet/dispatcher/dispatcher_test.go
@@ -213,8 +213,8 @@
 		c.requireInvariants()
 	})
 	t.Run("a worker that restarted just before the takeover may have a longer lease than the former holder granted", func(t *testing.T) {
-		c, id := newCellWithLongestLease(t)
-		c.fleet.Update(id, func(w *fencer.Worker) { w.IsUnresponsive = true })
+		c, start := newCellWithLongestLease(t)
+		c.fleet.Update(start.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
 		c.options.FormerSeenAt = c.clock.Now().Add(-7 * time.Second)
 		c.claim()
 		c.run(confirmer.Authority + 7*time.Second)
@@ -222,10 +222,10 @@
 		c.requireInvariants()
 	})
 	t.Run("a worker that restarted unnoticed keeps its longest lease when it replies for the first time", func(t *testing.T) {
-		c, id := newCellWithLongestLease(t)
+		c, start := newCellWithLongestLease(t)
 		c.claim()
 		c.run(2 * tickInterval)
-		c.fleet.Update(id, func(w *fencer.Worker) { w.IsUnresponsive = true })
+		c.fleet.Update(start.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
 		c.run(7 * time.Second)
 		require.Equal(t, 2, c.fleet.Starts("a.0.0.0"))
 		c.requireInvariants()
@@ -399,8 +399,8 @@
 }
 
 // newCellWithLongestLease returns a cell in which a long-running task started on a worker that had just restarted without
-// the holder's knowledge, and the ID of that worker. The deadline of the start is far ahead of the worker's new clock.
-func newCellWithLongestLease(t *testing.T) (*cell, string) {
+// the holder's knowledge, and that start. Its deadline is far ahead of the worker's new clock.
+func newCellWithLongestLease(t *testing.T) (*cell, orderer.Start) {
 	c := newCell(t, 2)
 	c.fleet.MaxLease = chaosMaxLease
 	c.options = dispatcher.Options{MaxLease: chaosMaxLease, FormerLease: 3500 * time.Millisecond}
@@ -416,8 +416,8 @@
 	start, isStart := orders[0].(orderer.Start)
 	require.True(t, isStart)
 	c.fleet.Restart(start.Worker.ID, 2)
-	require.Equal(t, orderer.Accepted, c.fleet.Start(t.Context(), start))
-	return c, start.Worker.ID
+	require.Equal(t, orderer.Restarted, c.fleet.Start(t.Context(), start))
+	return c, start
 }
 
 // TestOddProgress guards against a record of another writer that ends the process of each holder.
--- a/internal/fleet/dispatcher/late_test.go
+++ b/internal/fleet/dispatcher/late_test.go
@@ -172,3 +172,36 @@
 		})
 	}
 }
+
+// TestStartInUnknownIncarnationIsNoticed guards against two runs of a task whose start was the first that the holder heard of
+// its worker since a restart: the worker falls silent, and its new incarnation has a longer lease than the holder granted.
+func TestStartInUnknownIncarnationIsNoticed(t *testing.T) {
+	c, start := newCellWithLongestLease(t)
+	c.d.StartAnswered(c.clock.Now(), start, orderer.Restarted)
+	c.fleet.Update(start.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
+	c.run(10 * time.Second)
+	require.Equal(t, 2, c.fleet.Starts(start.Task.String()), "the task starts again once the lease has ended")
+	c.requireInvariants()
+}
+
+// TestLatePollDiscardsNoResultOfUnknownIncarnation guards against a task that runs twice: it was started in an incarnation of
+// the worker that the holder does not know, and a poll to the former one arrives late and discards its result.
+func TestLatePollDiscardsNoResultOfUnknownIncarnation(t *testing.T) {
+	c := newCell(t, 1)
+	c.submit("a", describer.Queue{}, tasks(4))
+	c.runUntilUnconfirmed(4)
+	late, _ := c.d.NextPoll(c.clock.Now(), "w-0")
+	require.Equal(t, int64(4), late.Acknowledged)
+	c.fleet.Restart("w-0", 2)
+	c.submit("b", describer.Queue{}, tasks(4))
+	c.save()
+	c.decide()
+	require.Len(t, c.fleet.Running("w-0"), 4)
+	c.decide()
+	c.clock.Advance(2 * runTime)
+	c.inventory(late)
+	c.d.PollAnswered(c.clock.Now(), late, orderer.Inventory{}, orderer.Unknown)
+	c.run(15 * time.Second)
+	require.Equal(t, describer.JobCompleted, c.stateOf("b"))
+	c.requireInvariants()
+}
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -52,7 +52,15 @@
 		return 0
 	}
 	l.Cover(now, lease)
-	return clamper.Add(l.clock, clamper.Add(clamper.Scale(now.Sub(l.sampledAt), 1-maxClockDrift), lease))
+	return clamper.Add(l.MinClock(now), lease)
+}
+
+// MinClock returns a lower bound of the worker's clock, or 0 if it is unknown.
+func (l *Lease) MinClock(now time.Time) time.Duration {
+	if !l.IsKnown() {
+		return 0
+	}
+	return clamper.Add(l.clock, clamper.Scale(now.Sub(l.sampledAt), 1-maxClockDrift))
 }
 
 // Cover allows for a lease of the given duration that the worker may have been granted until now.
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -117,9 +117,13 @@
 	IncarnationAt time.Time
 	// RepliedAt is when the last reply arrived.
 	RepliedAt time.Time
+	// notice is what the replies to starts have shown of a restart.
+	notice restartNotice
 	// pollsInFlight counts the polls without a reply so far, and stalePolls those of them that were
 	// sent before the worker began its current incarnation.
 	pollsInFlight, stalePolls int
+	// acknowledgementsInFlight counts the polls to the current incarnation without a reply so far that acknowledge results.
+	acknowledgementsInFlight int
 	// lostAcknowledgementAt is when the newest poll to the current incarnation was sent that acknowledges results and
 	// got no reply. mayDiscardUntil is until when such a poll to a former incarnation may arrive.
 	lostAcknowledgementAt, mayDiscardUntil time.Time
@@ -239,7 +243,7 @@
 	isSameIncarnation := w.Info.Incarnation == 0 || w.Info.Incarnation == w.Incarnation
 	isResponsive := w.IsSynced && !w.HasFailedPoll && !w.HasUnconfirmedStart && w.Lease.IsKnown() && now.Sub(w.RepliedAt) < MaxReplyAge
 	hasRoom := w.startsInFlight < maxStartsInFlight && len(w.Runs) < maxRuns
-	keepsResults := w.stalePolls == 0 && !now.Before(w.mayDiscardUntil)
+	keepsResults := w.stalePolls == 0 && !now.Before(w.mayDiscardUntil) && !w.IsRestartNoticed()
 	isAvailable := w.IsListed && w.IsEnrolled && !w.Info.Draining && !w.IsLeaving && !w.IsDrained
 	return isAvailable && isSameIncarnation && isResponsive && hasRoom && keepsResults && w.Breaker.AllowsStarts(now)
 }
@@ -249,7 +253,7 @@
 	w.Incarnation, w.IncarnationAt, w.ReplyClock, w.IsLeaving = incarnation, now, 0, false
 	w.stalePolls = w.pollsInFlight
 	w.expectAcknowledgement(w.lostAcknowledgementAt)
-	w.lostAcknowledgementAt = time.Time{}
+	w.lostAcknowledgementAt, w.acknowledgementsInFlight = time.Time{}, 0
 	w.expectDeadline(w.lostDeadlineAt)
 	w.lostDeadlineAt = time.Time{}
 	w.Results, w.Breaker, w.Pacer = acknowledger.ResultTracker{}, breaker.Breaker{}, pacer.Pacer{}
@@ -374,14 +378,20 @@
 // of that of the current one and gives it the longest lease.
 func (w *Worker) LateDeadlineUntil() time.Time { return w.lateDeadlineUntil }
 
-// PollSent records that a poll is in flight.
+// PollSent records that a poll is in flight, and AcknowledgementSent that it acknowledges results.
 func (w *Worker) PollSent() { w.pollsInFlight++ }
 
+// AcknowledgementSent records that a poll that is in flight acknowledges results.
+func (w *Worker) AcknowledgementSent() { w.acknowledgementsInFlight++ }
+
 // PollEnded records the reply to a poll, or its failure. The incarnation is that of the poll.
-func (w *Worker) PollEnded(incarnation int64) {
+func (w *Worker) PollEnded(incarnation int64, isAcknowledging bool) {
 	w.pollsInFlight = max(w.pollsInFlight-1, 0)
-	if incarnation != w.Incarnation {
+	switch {
+	case incarnation != w.Incarnation:
 		w.stalePolls = max(w.stalePolls-1, 0)
+	case isAcknowledging:
+		w.acknowledgementsInFlight = max(w.acknowledgementsInFlight-1, 0)
 	}
 }
 
--- a/internal/fleet/orderer/orderer.go
+++ b/internal/fleet/orderer/orderer.go
@@ -48,11 +48,13 @@
 	// NoListener means that no process listens at the worker's address, so that the order did not
 	// reach it either.
 	NoListener
+	// Restarted means that a later incarnation of the worker than the one that the start was meant for has accepted it.
+	Restarted
 )
 
 var verdictNames = [...]string{
 	"unknown", "accepted", "fenced", "superseded", "lapsed", "no_room", "bad_ticket", "invalid",
-	"unhealthy", "other_incarnation", "not_sent", "no_listener",
+	"unhealthy", "other_incarnation", "not_sent", "no_listener", "restarted",
 }
 
 // String returns the name of the verdict in logs and metrics.
@@ -70,6 +72,9 @@
 	Deadline   time.Duration
 	Checkpoint string
 	Ticket     string
+	// MinClock is a lower bound of the clock of the incarnation that the order is meant for, at SentAt. A later
+	// incarnation has the same id, and its clock began anew.
+	MinClock time.Duration
 	// Timeout is how long to wait for the reply; after it the verdict is Unknown.
 	Timeout time.Duration
 	// SentAt is when this host sent the order.
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -273,7 +273,7 @@
 	p.Order(orderer.Start{
 		Worker: w.Info, Task: r.Ref, Run: number, Token: p.Options.Epoch, Spec: j.Spec.Spec,
 		Deadline: w.Lease.Extend(p.Now, p.Options.Lease), Checkpoint: t.Checkpoint(), Ticket: ticket,
-		Timeout: w.StartTimeout(), SentAt: p.Now,
+		MinClock: w.Lease.MinClock(p.Now), Timeout: w.StartTimeout(), SentAt: p.Now,
 	})
 }
 
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -55,7 +55,7 @@
 		}
 		return
 	}
-	if verdict != orderer.Accepted {
+	if verdict != orderer.Accepted && verdict != orderer.Restarted {
 		s.Report("A worker did not accept a start.", "task", start.Task.String(), "run", start.Run,
 			"worker", w.Info.ID, "incarnation", w.Incarnation, "verdict", verdict.String())
 	}
@@ -70,6 +70,14 @@
 			s.recordLostStart(w, r.Ref, r.Number, r.SentAt)
 			s.Stop(r)
 		}
+	case orderer.Restarted:
+		r.ConfirmedAt = now
+		w.RestartNoticed(r, now, s.Options.MaxLease)
+		if w.MayDiscardResults(now) {
+			// An end as done that is discarded could not be told from a lost run, and the task would run again.
+			s.Stop(r)
+		}
+		s.PollNow(w)
 	case orderer.Fenced:
 		s.IsFenced = true
 	default:
@@ -143,8 +151,9 @@
 // its results are numbered anew.
 func (s *Reconciler) NextPoll(w *monitor.Worker) orderer.Poll {
 	poll := s.nextPoll(w)
-	if number := w.Results.Unconfirmed(); poll.Wait > 0 && number > 0 {
+	if number := w.Results.Unconfirmed(); poll.Wait > 0 && number > 0 && !w.IsRestartNoticed() {
 		poll.Wait, poll.Acknowledged = 0, number
+		w.AcknowledgementSent()
 	}
 	return poll
 }
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -32,7 +32,7 @@
 		return
 	}
 	isBeforeIncarnation := !poll.SentAt.After(w.IncarnationAt)
-	w.PollEnded(poll.Incarnation)
+	w.PollEnded(poll.Incarnation, poll.Acknowledged > 0)
 	if verdict == orderer.Unknown && poll.Deadline > 0 {
 		w.DeadlineLost(poll.SentAt)
 	}
@@ -99,6 +99,7 @@
 		w.Lease.ExpiresAt = wt.Now.Add(leaser.ExpiryOf(former))
 	}
 	w.HasFailedPoll, w.IsSynced, w.HasUnconfirmedStart, w.RepliedAt = false, true, false, wt.Now
+	w.EndRestartNotice(poll.SentAt)
 	w.HasListedResults = w.HasListedResults || !inventory.MayOmitResults
 	w.ReplyClock = inventory.Clock
 	w.Lease.Sample(wt.Now, inventory.Clock)
@@ -136,10 +137,15 @@
 		w.IsEnrolled, w.RosterBatch = false, 0
 		wt.Persister.MarkRosterChanged()
 	}
+	noticed := w.TakeNoticedRuns()
 	w.BeginIncarnation(incarnation, wt.Now)
 	wt.Estimator.Forget(w.Info.ID)
 	needsPoll := false
-	for _, r := range w.Runs {
+	for key, r := range w.Runs {
+		if noticed[key] && !r.ConfirmedAt.After(poll.SentAt) {
+			// The inventory shows whether the run is there.
+			continue
+		}
 		wt.Hold(r.Task)
 		switch {
 		case r.ConfirmedAt.IsZero():
--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -306,7 +306,10 @@
 		audited: f.audit(w, name, s),
 	}
 	f.starts[name]++
-	return w.reply()
+	if verdict = w.reply(); verdict == orderer.Accepted && f.uptime(w) < s.MinClock {
+		return orderer.Restarted
+	}
+	return verdict
 }
 
 // checkCapacity records an overcommitted worker that a start causes.
