--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -40,8 +40,8 @@
 	chaosRetry = 100 * time.Millisecond
 )
 
-// lateStarts lets late starts and stops reach the next life of their worker, too. A start that arrives there before the
-// holder knows of the restart can't be told from a new one.
+// lateStarts lets late starts and stops reach the next life of their worker in all plays, not only in those that are named
+// after them. A start that arrives there before the holder knows of the restart can't be told from a new one.
 var lateStarts = os.Getenv("CHAOS_LATE_STARTS") != ""
 
 // chaosFault is a kind of fault.
@@ -125,6 +125,8 @@
 	appendedAt time.Time
 	// splits makes each takeover split the cell between the former holder, which loses the store, and its successor.
 	splits bool
+	// lateStarts lets late starts and stops reach the next life of their worker.
+	lateStarts bool
 	// limits are the workspaces with their limits; nil if the cell has none.
 	limits *chaosLimits
 }
@@ -242,7 +244,7 @@
 	const timeout = 500 * time.Millisecond
 	answer := func(verdict orderer.Verdict, apply func(orderer.Verdict)) func() { return func() { apply(verdict) } }
 	simple := func(worker string, carryOut func() orderer.Verdict, apply func(orderer.Verdict)) {
-		x.exchange(a, worker, lateStarts, timeout, func(done func(func())) {
+		x.exchange(a, worker, x.lateStarts, timeout, func(done func(func())) {
 			if verdict := carryOut(); verdict != orderer.Unknown {
 				done(answer(verdict, apply))
 			}
@@ -652,7 +654,7 @@
 	x := &chaos{
 		cell: newCell(t, 0), random: rand.New(rand.NewPCG(seed, 0)), missing: make(map[string]time.Time), left: make(map[string]bool),
 		entries: make(map[string]describer.Worker), lives: make(map[string]int), refusals: make(map[string]int),
-		onRestart: make(map[string][]func()), limits: limits,
+		onRestart: make(map[string][]func()), lateStarts: lateStarts, limits: limits,
 	}
 	x.fleet = fencer.NewFleet(x.clock, func(ref describer.TaskRef) time.Duration {
 		return 200*time.Millisecond + time.Duration(len(ref.Job)*ref.Index*137%29)*100*time.Millisecond
@@ -707,7 +709,7 @@
 	}
 }
 
-// playSeeds plays seeds in parallel, each without and with workspaces that have limits.
+// playSeeds plays seeds in parallel, each without and with workspaces that have limits, and with late starts.
 func playSeeds(t *testing.T, splits bool) {
 	var seeds, reached atomic.Int64
 	t.Cleanup(func() {
@@ -716,12 +718,16 @@
 	for seed := range seedsFromEnv(chaosSeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			playSeed(t, seed, splits, nil)
+			playSeed(t, seed, splits, lateStarts, nil)
+		})
+		t.Run(fmt.Sprintf("late-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			playSeed(t, seed, splits, true, nil)
 		})
 		t.Run(fmt.Sprintf("limits-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			limits := newChaosLimits(seed)
-			playSeed(t, seed, splits, limits)
+			playSeed(t, seed, splits, lateStarts, limits)
 			seeds.Add(1)
 			reached.Add(int64(limits.reached))
 		})
@@ -729,9 +735,9 @@
 }
 
 // playSeed plays a seed and requires that no task runs twice, and that no start exceeds the limit of a workspace.
-func playSeed(t *testing.T, seed uint64, splits bool, limits *chaosLimits) {
+func playSeed(t *testing.T, seed uint64, splits, lateStarts bool, limits *chaosLimits) {
 	x := newChaos(t, seed, limits)
-	x.splits = splits
+	x.splits, x.lateStarts = splits, lateStarts
 	x.play()
 	limits.require(x)
 	overlaps, _ := x.fleet.Violations()
