evacuator: Keep an order for a machine open that may still be carried out

What callers saw: a wave of upkeep took more machines down than it allows: an order got no reply, its repetition was refused as the machine was busy, and the first one was carried out late, when another machine of the wave was down.

Change: the order stays open, and the machine counts as down, until no earlier sending can be carried out any more.

Evidence: TestLateUpkeepOfBusyMachine fails without the change (2 machines down of 1) and passes with it.

--- a/internal/fleet/dispatcher/harness_test.go
+++ b/internal/fleet/dispatcher/harness_test.go
@@ -49,6 +49,8 @@
 	// machines are those of the workers; nil if the test needs none.
 	machines *fencer.Machines
 	ticks    int
+	// upkeep overrides the replies to orders for the upkeep of machines; nil does not.
+	upkeep func(order orderer.Upkeep) orderer.UpkeepVerdict
 	// emptyLists is how many of the next lists of machines omit all of them.
 	emptyLists int
 	// omitted is a machine that all lists of machines omit, although it exists.
@@ -248,7 +250,13 @@
 	case orderer.Stop:
 		c.d.StopAnswered(now, o, c.fleet.Stop(ctx, o))
 	case orderer.Upkeep:
-		c.d.UpkeepAnswered(now, o, c.machines.Upkeep(ctx, o))
+		var verdict orderer.UpkeepVerdict
+		if c.upkeep == nil {
+			verdict = c.machines.Upkeep(ctx, o)
+		} else {
+			verdict = c.upkeep(o)
+		}
+		c.d.UpkeepAnswered(now, o, verdict)
 		// The holder ticks after each reply, before the next poll returns.
 		c.d.Tick(now)
 		for _, next := range c.d.TakeOrders() {
--- a/internal/fleet/dispatcher/late_test.go
+++ b/internal/fleet/dispatcher/late_test.go
@@ -205,3 +205,37 @@
 	require.Equal(t, describer.JobCompleted, c.stateOf("b"))
 	c.requireInvariants()
 }
+
+// TestLateUpkeepOfBusyMachine guards against more machines down than a wave allows: an order without a reply is carried out
+// after its repetition was refused, as the machine was busy.
+func TestLateUpkeepOfBusyMachine(t *testing.T) {
+	c, wave := newWave(t, 2, 1)
+	slices.Reverse(wave.Machines)
+	c.runTimes = func(ref describer.TaskRef) time.Duration {
+		return map[describer.JobID]time.Duration{"short": runTime, "long": 5 * time.Second}[ref.Job]
+	}
+	c.submit("short", describer.Queue{}, tasks(4))
+	c.run(2 * tickInterval)
+	c.submit("long", describer.Queue{}, tasks(1))
+	c.run(2 * tickInterval)
+	c.d.SetWave(c.clock.Now(), wave)
+	var late []orderer.Upkeep
+	c.upkeep = func(order orderer.Upkeep) orderer.UpkeepVerdict {
+		late = append(late, order)
+		return orderer.UpkeepUnknown
+	}
+	for len(late) == 0 {
+		c.run(tickInterval)
+	}
+	require.Equal(t, "m-w-0", late[0].Machine, "the machine that runs nothing comes first")
+	c.upkeep = nil
+	c.machines.Upkeep(t.Context(), orderer.Upkeep{Machine: late[0].Machine, Wave: 9, Token: late[0].Token})
+	for c.machines.Upkeeps(1) == 0 {
+		c.run(tickInterval)
+	}
+	c.machines.Upkeep(t.Context(), late[0])
+	c.run(30 * time.Second)
+	require.Equal(t, 2, c.machines.Upkeeps(1))
+	require.Equal(t, 1, c.machines.MaxDown())
+	c.requireInvariants()
+}
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -77,6 +77,8 @@
 // openOrder is an order for the upkeep of a machine whose outcome is not known.
 type openOrder struct {
 	sentAt time.Time
+	// lateUntil is until when a sending without a reply may still be carried out; zero if there is none.
+	lateUntil time.Time
 	// workers are the incarnations of the workers that the machine had when the order was sent, by worker. Each of them may
 	// be the one that it has ended: a list names the next worker before the order has a reply.
 	workers map[string]int64
@@ -401,7 +403,16 @@
 		e.upkeepStarted(w, order.Machine)
 	case orderer.UpkeepFenced:
 		e.IsFenced = true
+	case orderer.UpkeepUnknown:
+		if open, isOpen := w.orders[order.Machine]; isOpen {
+			open.lateUntil = open.sentAt.Add(monitor.MaxLateness)
+			w.orders[order.Machine] = open
+		}
 	case orderer.UpkeepBusy:
+		if now.Before(w.orders[order.Machine].lateUntil) {
+			// An earlier sending may take the machine down once it is no longer busy.
+			return
+		}
 		delete(w.orders, order.Machine)
 		if _, isMissing := e.missingSince[order.Machine]; isMissing {
 			e.missingSince[order.Machine] = e.listedAt
