reconciler: Leave queues with advice and copies out of what late starts cost

Cause: ends were held back, and starts recorded for a successor, for all queues. The starts of a queue with advice carry a ticket, which the next incarnation of a worker refuses, and copies of a task may run at the same time.

Change: a start without a reply is marked as harmful if neither holds. Only such ones confine a task, hold an end back or are persisted. The lower bound of a worker's clock allows for clocks in whole milliseconds, and a start of a resolved run that a later incarnation accepted is noticed, too.

--- a/internal/fleet/evacuator/moves.go
+++ b/internal/fleet/evacuator/moves.go
@@ -34,7 +34,8 @@
 
 // mustMove reports whether a run on a drained or draining worker is to be stopped now. Of each long-running step as many
 // tasks at a time are moved as the step allows to be down, or one if the step sets no limit; off a draining worker only
-// if there is room for them elsewhere. One that may start on its worker only stays as long as it can. Tasks that save checkpoints go on until their worker may leave, others until it leaves.
+// if there is room for them elsewhere. A task that may start on its worker only stays as long as it can. Tasks that save
+// checkpoints go on until their worker may leave, others until it leaves.
 func (e *Evacuator) mustMove(w *monitor.Worker, r *tasker.Run) bool {
 	step := r.Task.Step
 	isAboutToLeave := w.IsAboutToLeave(leaveNotice, e.Now)
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -22,6 +22,8 @@
 	maxClockDrift = 0.04
 	// lapseSlack covers the worker's delay in ending runs whose lease has expired.
 	lapseSlack = 200 * time.Millisecond
+	// clockRounding covers the rounding of clocks, which replies give in whole milliseconds.
+	clockRounding = 10 * time.Millisecond
 )
 
 // ExpiryOf returns the time on this host's clock after which a lease of the given duration has
@@ -52,15 +54,20 @@
 		return 0
 	}
 	l.Cover(now, lease)
-	return clamper.Add(l.MinClock(now), lease)
+	return clamper.Add(l.lowestClock(now), lease)
 }
 
-// MinClock returns a lower bound of the worker's clock, or 0 if it is unknown.
+// lowestClock returns the worker's clock if it is as slow as it may be.
+func (l *Lease) lowestClock(now time.Time) time.Duration {
+	return clamper.Add(l.clock, clamper.Scale(now.Sub(l.sampledAt), 1-maxClockDrift))
+}
+
+// MinClock returns what the worker's clock certainly shows unless the worker has restarted, or 0 if it is unknown.
 func (l *Lease) MinClock(now time.Time) time.Duration {
 	if !l.IsKnown() {
 		return 0
 	}
-	return clamper.Add(l.clock, clamper.Scale(now.Sub(l.sampledAt), 1-maxClockDrift))
+	return max(l.lowestClock(now)-clockRounding, 0)
 }
 
 // Cover allows for a lease of the given duration that the worker may have been granted until now.
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -272,8 +272,13 @@
 	Charge describer.Resources
 	Owner  describer.Owner
 	SentAt time.Time
+	// IsHarmful reports that a later incarnation of the worker would accept the start, and that the task may not run twice.
+	IsHarmful bool
 }
 
+// Until returns until when the start may be carried out.
+func (l LostStart) Until() time.Time { return l.SentAt.Add(MaxLateness) }
+
 // RecordLostStart records that the start of a run got no reply. Of very many the oldest are forgotten.
 func (w *Worker) RecordLostStart(start LostStart) {
 	w.lostStarts = append(w.lostStarts, start)
@@ -285,6 +290,11 @@
 	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return s.Ref == ref && s.Number == number })
 }
 
+// HasHarmfulStart reports whether a harmful start without a reply may still be carried out.
+func (w *Worker) HasHarmfulStart(now time.Time) bool {
+	return slices.ContainsFunc(w.LostStarts(now), func(s LostStart) bool { return s.IsHarmful })
+}
+
 // LostStarts returns the starts without a reply that may still be carried out.
 func (w *Worker) LostStarts(now time.Time) []LostStart {
 	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return now.Sub(s.SentAt) >= MaxLateness })
@@ -378,7 +388,7 @@
 // of that of the current one and gives it the longest lease.
 func (w *Worker) LateDeadlineUntil() time.Time { return w.lateDeadlineUntil }
 
-// PollSent records that a poll is in flight, and AcknowledgementSent that it acknowledges results.
+// PollSent records that a poll is in flight.
 func (w *Worker) PollSent() { w.pollsInFlight++ }
 
 // AcknowledgementSent records that a poll that is in flight acknowledges results.
--- a/internal/fleet/monitor/restart.go
+++ b/internal/fleet/monitor/restart.go
@@ -1,10 +1,6 @@
 package monitor
 
-import (
-	"time"
-
-	"lentilrock.example/internal/fleet/tasker"
-)
+import "time"
 
 // restartNotice is what the replies to starts have shown of a restart, before the reply to a poll has told of the new
 // incarnation.
@@ -15,13 +11,13 @@
 	runs map[RunKey]bool
 }
 
-// RestartNoticed records that a start of a run was accepted by a later incarnation, which may have taken the longest lease
+// RestartNoticed records that the start of a run was accepted by a later incarnation, which may have taken the longest lease
 // from a deadline on the clock of the former one.
-func (w *Worker) RestartNoticed(r *tasker.Run, now time.Time, longest time.Duration) {
+func (w *Worker) RestartNoticed(run RunKey, now time.Time, longest time.Duration) {
 	if w.notice.runs == nil {
 		w.notice.runs = make(map[RunKey]bool)
 	}
-	w.notice.at, w.notice.runs[KeyOf(r)] = now, true
+	w.notice.at, w.notice.runs[run] = now, true
 	w.Lease.Cover(now, longest)
 }
 
--- a/internal/fleet/persister/late.go
+++ b/internal/fleet/persister/late.go
@@ -11,15 +11,18 @@
 	"lentilrock.example/internal/fleet/monitor"
 )
 
-// takeLateStarts returns the record of the starts that may still be carried out, those last that may be so for longest. It
-// clears the stale flag.
+// takeLateStarts returns the record of the harmful starts that may still be carried out, those last that may be so for
+// longest. It clears the stale flag.
 func (s *Persister) takeLateStarts(epoch int64, now time.Time, workers []*monitor.Worker) (journaler.Record, error) {
 	late := journaler.LateStarts{Epoch: epoch}
 	for _, w := range workers {
 		for _, start := range w.LostStarts(now) {
+			if !start.IsHarmful {
+				continue
+			}
 			late.Starts = append(late.Starts, journaler.LateStart{
 				Worker: w.Info.ID, Job: start.Ref.Job, Occurrence: start.Ref.Occurrence, Step: start.Ref.Step, Index: start.Ref.Index,
-				Run: start.Number, Remaining: start.SentAt.Add(monitor.MaxLateness).Sub(now),
+				Run: start.Number, Remaining: start.Until().Sub(now),
 			})
 		}
 	}
--- a/internal/fleet/persister/persister.go
+++ b/internal/fleet/persister/persister.go
@@ -118,14 +118,15 @@
 	s.forgotten = nil
 	waves, waveErrs := s.waveRecords(epoch)
 	records = append(records, waves...)
-	lateErr := error(nil)
+	errs := errors.Join(jobErrs, waveErrs)
 	if s.areLateStartsStale {
-		var late journaler.Record
-		if late, lateErr = s.takeLateStarts(epoch, now, workers); lateErr == nil {
+		late, err := s.takeLateStarts(epoch, now, workers)
+		if err != nil {
+			errs = errors.Join(errs, err)
+		} else {
 			records = append(records, late)
 		}
 	}
-	errs := errors.Join(jobErrs, waveErrs, lateErr)
 	if s.isRosterStale {
 		roster, err := s.takeRoster(epoch, workers)
 		if err != nil {
--- a/internal/fleet/placer/delay.go
+++ b/internal/fleet/placer/delay.go
@@ -70,6 +70,7 @@
 			}
 		}
 	}
+	// A gang whose member is confined to a rack without room for all is spread.
 	if isConfined && (chosen == nil || chosen[0].Info.Rack != preferred) {
 		return candidates, false
 	}
--- a/internal/fleet/reconciler/confine.go
+++ b/internal/fleet/reconciler/confine.go
@@ -17,7 +17,7 @@
 	w, found := s.Workers[r.Worker]
 	t, until := r.Task, r.SentAt.Add(monitor.MaxLateness)
 	mayArrive := found && r.ConfirmedAt.IsZero() && w.RepliedAt.After(r.SentAt) && s.Now.Before(until)
-	if !mayArrive || t == nil || !mayConfine(t) {
+	if !mayArrive || t == nil || t.Done || !s.isHarmful(r.Ref) {
 		return
 	}
 	s.Confine(t, confiner.Start{Worker: w.Info.ID, Number: r.Number, Until: until})
@@ -44,8 +44,25 @@
 
 // recordLostStart records that a start got no reply. A successor learns of it with the next batch.
 func (s *Reconciler) recordLostStart(w *monitor.Worker, ref describer.TaskRef, number int64, sentAt time.Time) {
-	w.RecordLostStart(monitor.LostStart{Ref: ref, Number: number, Charge: s.chargeOf(w, ref), Owner: s.ownerOf(w, ref), SentAt: sentAt})
-	s.Persister.MarkLateStartsChanged()
+	isHarmful := s.isHarmful(ref)
+	w.RecordLostStart(monitor.LostStart{Ref: ref, Number: number, Charge: s.chargeOf(w, ref), Owner: s.ownerOf(w, ref), SentAt: sentAt, IsHarmful: isHarmful})
+	if isHarmful {
+		s.Persister.MarkLateStartsChanged()
+	}
+}
+
+// isHarmful reports whether a late start of a task would do harm in a later incarnation of its worker. Copies of a task may run
+// at the same time, and the starts of a queue with advice carry a ticket, which a later incarnation refuses.
+func (s *Reconciler) isHarmful(ref describer.TaskRef) bool {
+	entry, found := s.State.Find(ref.Job)
+	if !found || ref.Step < 0 || ref.Step >= len(entry.Job.Steps) {
+		return true
+	}
+	queue := entry.Job.Queue
+	if j, isOpen := s.Jobs[ref.Job]; isOpen {
+		queue = j.Queue
+	}
+	return !entry.Job.Steps[ref.Step].Speculative && !queue.NeedsAdvice()
 }
 
 // RestoreLateStart records a start of a former holder that its worker may still carry out, for a time after the former
@@ -59,7 +76,7 @@
 		s.recordLostStart(w, late.Ref(), late.Run, until.Add(-monitor.MaxLateness))
 	}
 	t := s.taskOf(late.Ref())
-	if t == nil || !mayConfine(t) {
+	if t == nil || t.Done || !s.isHarmful(late.Ref()) {
 		return
 	}
 	t.Keep()
@@ -74,12 +91,6 @@
 	return nil
 }
 
-// mayConfine reports whether a second run of a task would do harm, and a later incarnation of a worker would accept one. It
-// refuses the ticket that the starts of a queue with advice carry.
-func mayConfine(t *tasker.Task) bool {
-	return !t.Done && !t.Step.Spec.Speculative && !t.Step.Job.Queue.NeedsAdvice()
-}
-
 // WorkerGone lets tasks start elsewhere that are confined to a worker which never runs again.
 func (s *Reconciler) WorkerGone(id string) {
 	for _, t := range s.confined {
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -44,6 +44,12 @@
 			w.DeadlineLost(start.SentAt)
 		}
 	}
+	if w != nil && verdict == orderer.Restarted {
+		verdict = orderer.Accepted
+		if start.SentAt.After(w.IncarnationAt) {
+			s.restartNoticed(w, r, start)
+		}
+	}
 	if r == nil {
 		switch {
 		case w == nil:
@@ -55,7 +61,7 @@
 		}
 		return
 	}
-	if verdict != orderer.Accepted && verdict != orderer.Restarted {
+	if verdict != orderer.Accepted {
 		s.Report("A worker did not accept a start.", "task", start.Task.String(), "run", start.Run,
 			"worker", w.Info.ID, "incarnation", w.Incarnation, "verdict", verdict.String())
 	}
@@ -70,14 +76,6 @@
 			s.recordLostStart(w, r.Ref, r.Number, r.SentAt)
 			s.Stop(r)
 		}
-	case orderer.Restarted:
-		r.ConfirmedAt = now
-		w.RestartNoticed(r, now, s.Options.MaxLease)
-		if w.MayDiscardResults(now) {
-			// An end as done that is discarded could not be told from a lost run, and the task would run again.
-			s.Stop(r)
-		}
-		s.PollNow(w)
 	case orderer.Fenced:
 		s.IsFenced = true
 	default:
@@ -85,6 +83,19 @@
 	}
 }
 
+// restartNoticed asks a worker for its inventory, as a start was accepted by a later incarnation than the known one. The run
+// is nil if it is resolved.
+func (s *Reconciler) restartNoticed(w *monitor.Worker, r *tasker.Run, start orderer.Start) {
+	s.Report("A later incarnation of a worker than the known one accepted a start.", "task", start.Task.String(), "run", start.Run,
+		"worker", w.Info.ID, "incarnation", w.Incarnation)
+	w.RestartNoticed(monitor.RunKey{Ref: start.Task, Number: start.Run}, s.Now, s.Options.MaxLease)
+	if r != nil && w.MayDiscardResults(s.Now) {
+		// An end as done that is discarded could not be told from a lost run, and the task would run again.
+		s.Stop(r)
+	}
+	s.PollNow(w)
+}
+
 // startRefused removes a run whose start the worker has not carried out and never will.
 func (s *Reconciler) startRefused(w *monitor.Worker, r *tasker.Run, verdict orderer.Verdict) {
 	if t := r.Task; t != nil {
--- a/internal/fleet/watcher/poll.go
+++ b/internal/fleet/watcher/poll.go
@@ -169,8 +169,8 @@
 		return until
 	}
 	for _, lost := range w.LostStarts(wt.Now) {
-		if end := lost.SentAt.Add(monitor.MaxLateness); lost.Ref == result.Task && end.After(until) {
-			until = end
+		if lost.IsHarmful && lost.Ref == result.Task && lost.Until().After(until) {
+			until = lost.Until()
 		}
 	}
 	return until
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -148,7 +148,7 @@
 	}
 	wt.removeExpired()
 	wt.reconciler.EndConfinements()
-	if wt.Persister.HasLateStarts() && !slices.ContainsFunc(wt.Ordered, func(w *monitor.Worker) bool { return len(w.LostStarts(wt.Now)) > 0 }) {
+	if wt.Persister.HasLateStarts() && !slices.ContainsFunc(wt.Ordered, func(w *monitor.Worker) bool { return w.HasHarmfulStart(wt.Now) }) {
 		wt.Persister.MarkLateStartsChanged()
 	}
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -283,5 +283,17 @@
   'w.Incarnation != inventory.Incarnation && isBeforeIncarnation' 'false' $dispatcher 'TestWorkers/a_reply_of_a_former'
 mutant "fence: the holder decides whether a cancellation came first" internal/fleet/journaler/journaler.go \
   'case e.Progress.Outcome == OutcomeCancelled:' 'case e.Cancelled:' $dispatcher 'TestJobs/a_cancellation'
+mutant "fence: a task stays with the worker of its lost start" internal/fleet/reconciler/confine.go \
+  'mayArrive := found &&' 'mayArrive := !found &&' $dispatcher 'TestTaskWithLostStart|TestGangWithLostStart'
+mutant "fence: a successor learns of lost starts" internal/fleet/watcher/watcher.go \
+  'wt.reconciler.RestoreLateStart(late)' '_ = late' $dispatcher 'TestSuccessorConfinesTaskWithLostStart'
+mutant "fence: an end that a late start may repeat is not acknowledged" internal/fleet/watcher/poll.go \
+  ', NotBefore: wt.mayStartAgainUntil(w, result)' '' $dispatcher 'TestEndOfTaskWithLostStartIsAcknowledgedLater'
+mutant "fence: a start in another incarnation is noticed" internal/fleet/reconciler/order.go \
+  'w.RestartNoticed(monitor.RunKey{Ref: start.Task, Number: start.Run}, s.Now, s.Options.MaxLease)' '' $dispatcher 'TestStartInUnknownIncarnationIsNoticed'
+mutant "fence: a run whose result may be discarded is stopped" internal/fleet/reconciler/order.go \
+  'if r != nil && w.MayDiscardResults(s.Now) {' 'if false {' $dispatcher 'TestLatePollDiscardsNoResultOfUnknownIncarnation'
+mutant "fence: a busy machine may still be taken down" internal/fleet/evacuator/evacuator.go \
+  'if now.Before(w.orders[order.Machine].lateUntil) {' 'if false {' $dispatcher 'TestLateUpkeepOfBusyMachine'
 echo "mutants: $survived survived"
 [ "$survived" = 0 ]
