--- a/internal/fleet/dispatcher/late_test.go
+++ b/internal/fleet/dispatcher/late_test.go
@@ -83,17 +83,23 @@
 	return orderer.Start{}
 }
 
-// TestTaskWithLostStartRunsNowhereElse guards against a task that runs twice: its start gets no reply, the worker
-// restarts under its id, and the new incarnation, which has seen no fencing token, carries the start out.
-func TestTaskWithLostStartRunsNowhereElse(t *testing.T) {
-	c, lost := newCellWithLostStart(t, tasks(1))
+// requireHarmless checks that a lost start which the next incarnation of its worker carries out does no harm, after its task has
+// started again.
+func (c *cell) requireHarmless(lost orderer.Start) {
 	c.run(time.Second)
-	require.Greater(t, c.lastStart().Run, lost.Run, "the task has started again")
+	require.Greater(c.t, c.lastStart().Run, lost.Run, "the task has started again")
 	c.fleet.Restart(lost.Worker.ID, 2)
-	c.fleet.Start(t.Context(), lost)
+	c.fleet.Start(c.t.Context(), lost)
 	c.run(40 * time.Second)
 	c.requireInvariants()
-	require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+	require.Equal(c.t, describer.JobCompleted, c.stateOf("a"))
+}
+
+// TestTaskWithLostStartRunsNowhereElse guards against a task that runs twice: its start gets no reply, the worker
+// restarts under its id, and the new incarnation, which has seen no fencing token, carries the start out.
+func TestTaskWithLostStartRunsNowhereElse(t *testing.T) {
+	c, lost := newCellWithLostStart(t, tasks(1))
+	c.requireHarmless(lost)
 }
 
 // TestTaskWithLostStartWaitsNoLongerThanNeeded guards against a task that waits for the worker of its lost start although that
@@ -124,13 +130,7 @@
 	gang := tasks(2)
 	gang.Gang = true
 	c, lost := newCellWithLostStart(t, gang)
-	c.run(time.Second)
-	require.Greater(t, c.lastStart().Run, lost.Run, "the gang has started again")
-	c.fleet.Restart(lost.Worker.ID, 2)
-	c.fleet.Start(t.Context(), lost)
-	c.run(40 * time.Second)
-	c.requireInvariants()
-	require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+	c.requireHarmless(lost)
 }
 
 // TestSuccessorConfinesTaskWithLostStart guards against a task that runs twice, as a successor starts it anywhere that knows
@@ -141,13 +141,7 @@
 	c.clock.Advance(5 * tickInterval)
 	c.options.FormerSeenAt = c.clock.Now()
 	c.claim()
-	c.run(time.Second)
-	require.Greater(t, c.lastStart().Run, lost.Run, "the task has started again")
-	c.fleet.Restart(lost.Worker.ID, 2)
-	c.fleet.Start(t.Context(), lost)
-	c.run(40 * time.Second)
-	c.requireInvariants()
-	require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+	c.requireHarmless(lost)
 	require.Empty(t, c.state.LateStarts, "the record lists a start that can't be carried out any more")
 }
 
