late_test: Bound the wait of a task whose worker was lost with its start

The case passed with any wait of up to 12 s. It now fails if the task is confined although its worker has replied to nothing since the start was sent (12 s in place of 7 s at most).

--- a/internal/fleet/dispatcher/late_test.go
+++ b/internal/fleet/dispatcher/late_test.go
@@ -103,22 +103,23 @@
 }
 
 // TestTaskWithLostStartWaitsNoLongerThanNeeded guards against a task that waits for the worker of its lost start although that
-// can't carry it out any more, or did not outlive it.
+// can't carry it out any more, or for longer than its lease although it was lost with the start.
 func TestTaskWithLostStartWaitsNoLongerThanNeeded(t *testing.T) {
-	for name, repliesAfter := range map[string]time.Duration{"worker lost with the start": 0, "worker lost later": time.Second} {
+	for name, tc := range map[string]struct{ repliesFor, least, most time.Duration }{
+		"worker lost with the start": {most: leaseOfFormerHolder},
+		"worker lost later":          {repliesFor: time.Second, least: maxLateness, most: maxLateness},
+	} {
 		t.Run(name, func(t *testing.T) {
 			c, lost := newCellWithLostStart(t, tasks(1))
 			sentAt := c.clock.Now()
-			c.run(repliesAfter)
+			c.run(tc.repliesFor)
 			c.fleet.Update(lost.Worker.ID, func(w *fencer.Worker) { w.IsUnresponsive = true })
-			c.run(maxLateness - repliesAfter - 2*tickInterval)
-			if repliesAfter > 0 {
-				require.Equal(t, lost.Worker.ID, c.lastStart().Worker.ID, "the start may still be carried out there")
-				c.run(4 * tickInterval)
-			}
+			c.run(maxLateness)
+			c.run(4 * tickInterval)
 			start := c.lastStart()
 			require.NotEqual(t, lost.Worker.ID, start.Worker.ID)
-			require.LessOrEqual(t, start.SentAt.Sub(sentAt), maxLateness+2*tickInterval)
+			require.GreaterOrEqual(t, start.SentAt.Sub(sentAt), tc.least)
+			require.LessOrEqual(t, start.SentAt.Sub(sentAt), tc.most+2*tickInterval)
 			c.requireInvariants()
 		})
 	}
