limiter: Bound what the kernel holds for clients

Callers saw a host end, out of memory, when many of them sent bodies while it did not run for some seconds or fell behind.

Cause: bytes that a process has received and not read count towards its memory. The budget knew only what had been read, and a connection may hold 128 KiB in the kernel, also one of the 4,096 that wait to be accepted.

Now a listener has a queue of bounded length and connections with a receive buffer of 4 KiB, set before the first one arrives; the kernel holds at most twice that. Each connection counts with its buffer, the queue has a quarter of the listener's memory, and the clients' share, which covers both, is 0.4 of the memory instead of 0.25. A body that is larger gets a buffer of 64 KiB, the kernel's default, once its request is read and if there is free memory for it; otherwise it goes on in more round trips (cause "buffer").

--- a/internal/web/budgeter/budgeter.go
+++ b/internal/web/budgeter/budgeter.go
@@ -48,12 +48,15 @@
 	Taken
 )
 
-// Cause is why a connection was refused or closed.
+// Cause is why a connection was refused, closed or slowed down.
 type Cause string
 
 const (
 	// CauseConnections is a connection that was refused, as the pool has no connection left and none that may be shed.
 	CauseConnections Cause = "connections"
+	// CauseBuffer is a large body that keeps the small receive buffer, as the pool has no memory for another one. It takes more
+	// round trips; nothing is closed.
+	CauseBuffer Cause = "buffer"
 	// CauseMemory is a request that was refused, as the pool has no memory left and none that may be freed.
 	CauseMemory Cause = "memory"
 	// CauseShed is a connection that was closed, as others need what it held.
@@ -100,8 +103,9 @@
 
 	// The fields below are guarded by pool.mu.
 	phase Phase
-	// reserved is the connection's memory beyond ConnectionBytes.
-	reserved int64
+	// reserved is the memory of the connection's request, and retained what it keeps until it is closed; both are beyond that of
+	// a connection without a request.
+	reserved, retained int64
 	// startedAt is when the present request or phase without a request began, and progressAt when the last byte of it arrived
 	// or was sent; received counts these bytes.
 	startedAt  time.Time
@@ -130,13 +134,13 @@
 	defer p.mu.Unlock()
 	l := &Lease{pool: p, address: address, startedAt: now, progressAt: now}
 	isWithin := func() bool {
-		return len(p.leases) < p.limits.Connections && p.used+ConnectionBytes <= p.limits.Memory
+		return len(p.leases) < p.limits.Connections && p.used+p.limits.connectionBytes() <= p.limits.Memory
 	}
 	if shed = p.shed(l, now, false, isWithin); !isWithin() {
 		return nil, shed, ErrBusy
 	}
 	p.leases[l] = true
-	p.add(l, 1, ConnectionBytes)
+	p.add(l, 1, p.limits.connectionBytes())
 	return l, shed, nil
 }
 
@@ -157,6 +161,20 @@
 	return shed, nil
 }
 
+// Retain adds memory to what the connection holds until it is closed, and reports whether it was free. It closes no other
+// connection, as the caller can go on without.
+func (l *Lease) Retain(bytes int64) bool {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.isClosed || p.used+bytes > p.limits.Memory {
+		return false
+	}
+	l.retained += bytes
+	p.add(l, 0, bytes)
+	return true
+}
+
 // Release returns memory that was reserved.
 func (l *Lease) Release(bytes int64) {
 	l.pool.mu.Lock()
@@ -230,7 +248,7 @@
 	l.isClosed = true
 	l.release(l.reserved)
 	delete(l.pool.leases, l)
-	l.pool.add(l, -1, -ConnectionBytes)
+	l.pool.add(l, -1, -l.pool.limits.connectionBytes()-l.retained)
 }
 
 // Expired returns the connections that have exceeded a deadline. They hold nothing any more; the caller closes them.
@@ -292,7 +310,7 @@
 }
 
 // shed closes the leases with the least progress until isWithin returns true, in favour of the lease l. If memory is needed,
-// only those that have reserved some are closed.
+// only those that hold more than a connection without a request are closed.
 func (p *Pool) shed(l *Lease, now time.Time, needsMemory bool, isWithin func() bool) []*Lease {
 	var shed []*Lease
 	for !isWithin() {
@@ -315,7 +333,7 @@
 	var least *Lease
 	hasMost := p.hasMost(l.address)
 	for other := range p.leases {
-		if other == l || needsMemory && other.reserved == 0 || !p.mayShed(l.address, hasMost, other, now) {
+		if other == l || needsMemory && other.reserved+other.retained == 0 || !p.mayShed(l.address, hasMost, other, now) {
 			continue
 		}
 		if least == nil || compareProgress(other, least, now) < 0 {
--- a/internal/web/budgeter/budgeter_test.go
+++ b/internal/web/budgeter/budgeter_test.go
@@ -117,3 +117,43 @@
 		}
 	}
 }
+
+// TestPlanFitsTheShare guards against listeners whose memory is in sum over the clients' share of the host's, with what the kernel
+// holds for connections that wait to be accepted.
+func TestPlanFitsTheShare(t *testing.T) {
+	for _, memoryMB := range []int64{64, 160, 184, 536} {
+		plan := budgeter.Limits{MemoryMB: memoryMB, MaxFDs: 300, MemoryShare: 0.4}.Plan()
+		apart, together := int64(0), int64(0)
+		for name, pool := range plan {
+			sum := pool.Memory + int64(pool.Backlog)*budgeter.UnreadBytes(pool.ReceiveBuffer)
+			if name != budgeter.Shared {
+				apart += sum
+			}
+			if name == budgeter.Shared || name == budgeter.Peers {
+				together += sum
+			}
+		}
+		require.LessOrEqual(t, apart, memoryMB<<20*4/10)
+		require.LessOrEqual(t, together, memoryMB<<20*4/10)
+	}
+}
+
+// TestRetainedMemoryClosesNobody guards against a larger receive buffer for which another connection is closed, and against one
+// that is free again while the connection is open.
+func TestRetainedMemoryClosesNobody(t *testing.T) {
+	p := newPool(2*budgeter.ConnectionBytes + 1000)
+	stalled, _, _ := p.Open(first, startTime)
+	lease, _, _ := p.Open(second, startTime)
+	_, err := stalled.Reserve(500, startTime)
+	require.NoError(t, err)
+	require.False(t, lease.Retain(600))
+	require.True(t, lease.Retain(400))
+	lease.Enter(budgeter.Idle, startTime)
+	_, memory := p.Used()
+	require.EqualValues(t, 2*budgeter.ConnectionBytes+900, memory)
+	require.False(t, stalled.IsClosed())
+	lease.Close()
+	stalled.Close()
+	_, memory = p.Used()
+	require.Zero(t, memory)
+}
--- a/internal/web/budgeter/limits.go
+++ b/internal/web/budgeter/limits.go
@@ -3,20 +3,23 @@
 import (
 	"cmp"
 	"time"
+
+	"lentilrock.example/internal/web/binder"
 )
 
-// The listeners of a process, by name.
+// The listeners of a process, by name. Shared is the only one of a process that serves all but its peers at one address.
 const (
 	Callers   = "callers"
 	Readiness = "readiness"
 	Peers     = "peers"
 	Metrics   = "metrics"
 	Operators = "operators"
+	Shared    = "shared"
 )
 
 const (
-	// ConnectionBytes is the memory of a connection without a request: two goroutine stacks, two buffers of 4 KiB and the state
-	// of the server.
+	// ConnectionBytes is the memory of a connection without a request, beside its receive buffer: two goroutine stacks, two buffers
+	// of 4 KiB and the state of the server.
 	ConnectionBytes = 20 << 10
 	// HeaderFactor is the memory of a header's decoded form by byte of its text: a field of six bytes takes 200 in the map.
 	HeaderFactor = 32
@@ -34,8 +37,10 @@
 const (
 	DefaultMemoryMB        = 184
 	DefaultMaxFDs          = 4096
-	DefaultMemoryShare     = 0.25
+	DefaultMemoryShare     = 0.4
 	DefaultMaxHeaderBytes  = 32 << 10
+	DefaultReceiveBuffer   = 4 << 10
+	DefaultBodyBuffer      = 64 << 10
 	DefaultHeaderTimeout   = 5 * time.Second
 	DefaultBodyTimeout     = 10 * time.Second
 	DefaultIdleTimeout     = 90 * time.Second
@@ -51,6 +56,8 @@
 	MaxFDs int64
 	// MaxHeaderBytes is the size of a request's header.
 	MaxHeaderBytes int64
+	// ReceiveBuffer is the size of a connection's receive buffer, and BodyBuffer the one that it gets for a large body.
+	ReceiveBuffer, BodyBuffer int64
 	// HeaderTimeout limits the time for a header, BodyTimeout the time without progress of a body (three times as long: for a
 	// whole one), IdleTimeout the time between requests, and ResponseTimeout how long a write may be blocked.
 	HeaderTimeout, BodyTimeout, IdleTimeout, ResponseTimeout time.Duration
@@ -58,9 +65,15 @@
 
 // PoolLimits are the limits of one listener.
 type PoolLimits struct {
-	Connections                                              int
-	Memory                                                   int64
-	MaxHeaderBytes                                           int
+	Connections int
+	// Memory is for the connections and their requests.
+	Memory int64
+	// Backlog is how many connections may wait to be accepted. What the kernel holds for them is beside Memory.
+	Backlog        int
+	MaxHeaderBytes int
+	// ReceiveBuffer is the size of a connection's receive buffer, and BodyBuffer the one that it gets for a large body if there is
+	// memory for what the kernel may hold then.
+	ReceiveBuffer, BodyBuffer                                int
 	HeaderTimeout, BodyTimeout, IdleTimeout, ResponseTimeout time.Duration
 }
 
@@ -68,6 +81,8 @@
 // not for files. Over half of the descriptors belong to no listener: they are for connections to peers, the store and workers.
 var parts = map[string]struct{ memory, fds int64 }{
 	Callers: {10, 8}, Readiness: {1, 1}, Peers: {2, 4}, Metrics: {1, 1}, Operators: {2, 1},
+	// In place of all but the peers.
+	Shared: {14, 11},
 }
 
 const (
@@ -75,26 +90,39 @@
 	fdParts     = 32
 	// minConnections lets a scraper or an operator in whose former connection is not closed yet.
 	minConnections = 2
+	// backlogDivisor is the part of a listener's memory for connections that are not accepted yet.
+	backlogDivisor = 4
+	minBacklog     = 16
 )
 
+// UnreadBytes returns what the kernel holds at most for a receive buffer of the given size.
+func UnreadBytes(size int) int64 { return binder.BufferFactor * int64(size) }
+
+// connectionBytes returns the memory of a connection without a request.
+func (l PoolLimits) connectionBytes() int64 { return ConnectionBytes + UnreadBytes(l.ReceiveBuffer) }
+
 // Plan returns the limits of each listener.
 func (l Limits) Plan() map[string]PoolLimits {
 	memory := int64(float64(cmp.Or(l.MemoryMB, DefaultMemoryMB)*mebibyte) * cmp.Or(l.MemoryShare, DefaultMemoryShare))
 	fds := max(cmp.Or(l.MaxFDs, DefaultMaxFDs)-fileFDs, 0)
 	plan := make(map[string]PoolLimits, len(parts))
 	for name, part := range parts {
+		share := memory * part.memory / memoryParts
+		queued := share / backlogDivisor
 		pool := PoolLimits{
-			Connections: int(max(fds*part.fds/fdParts, minConnections)), Memory: memory * part.memory / memoryParts,
+			Connections: int(max(fds*part.fds/fdParts, minConnections)), Memory: share - queued,
+			ReceiveBuffer: int(cmp.Or(l.ReceiveBuffer, DefaultReceiveBuffer)), BodyBuffer: int(cmp.Or(l.BodyBuffer, DefaultBodyBuffer)),
 			MaxHeaderBytes: int(cmp.Or(l.MaxHeaderBytes, DefaultMaxHeaderBytes)),
 			HeaderTimeout:  cmp.Or(l.HeaderTimeout, DefaultHeaderTimeout), BodyTimeout: cmp.Or(l.BodyTimeout, DefaultBodyTimeout),
 			IdleTimeout: cmp.Or(l.IdleTimeout, DefaultIdleTimeout), ResponseTimeout: cmp.Or(l.ResponseTimeout, DefaultResponseTimeout),
 		}
+		pool.Backlog = int(max(queued/UnreadBytes(pool.ReceiveBuffer), minBacklog))
 		// Connections without requests take at most half of the memory, so that those with requests have the rest. The number of
 		// peers is that of the cell, whatever memory this host has.
 		if name == Peers {
-			pool.Memory = max(pool.Memory, 2*int64(pool.Connections)*ConnectionBytes)
+			pool.Memory = max(pool.Memory, 2*int64(pool.Connections)*pool.connectionBytes())
 		}
-		pool.Connections = max(min(pool.Connections, int(pool.Memory/2/ConnectionBytes)), minConnections)
+		pool.Connections = max(min(pool.Connections, int(pool.Memory/2/pool.connectionBytes())), minConnections)
 		plan[name] = pool
 	}
 	return plan
--- a/internal/web/limiter/connection.go
+++ b/internal/web/limiter/connection.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lentilrock.example/internal/web/binder"
 	"lentilrock.example/internal/web/budgeter"
 )
 
@@ -16,6 +17,24 @@
 	net.Conn
 	limiter *Limiter
 	lease   *budgeter.Lease
+	// receiveBuffer is the size of the kernel's buffer in bytes. Only the goroutine that reads from the connection uses it.
+	receiveBuffer int
+}
+
+// enlarge gives the connection a larger receive buffer for a body of which that many bytes may follow, if there is memory for what
+// the kernel may hold then. Without one the body takes more round trips.
+func (c *connection) enlarge(bytes int64) {
+	size := int(min(bytes, int64(c.limiter.limits.BodyBuffer)))
+	if size <= c.receiveBuffer {
+		return
+	}
+	if !c.lease.Retain(budgeter.UnreadBytes(size) - budgeter.UnreadBytes(c.receiveBuffer)) {
+		c.limiter.count(budgeter.CauseBuffer)
+		return
+	}
+	c.receiveBuffer = size
+	// A connection that is closed meanwhile needs none.
+	_ = binder.SetReceiveBuffer(c.Conn, size)
 }
 
 func (c *connection) enter(phase budgeter.Phase) { c.lease.Enter(phase, c.limiter.options.Clock.Now()) }
--- a/internal/web/limiter/limiter.go
+++ b/internal/web/limiter/limiter.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	l := limiter.New(listener, limits, limiter.Options{Name: "callers", Clock: clock, Logger: log, Scope: scope})
+//	l, err := limiter.Listen(address, limits, limiter.Options{Name: "callers", Clock: clock, Logger: log, Scope: scope})
 //	server := l.Server(handler)
 //	go server.Serve(l)
 //	go l.Run(ctx) // closes connections at their deadlines
@@ -19,10 +19,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"lentilrock.example/internal/web/binder"
 	"lentilrock.example/internal/web/budgeter"
 )
 
@@ -48,11 +50,20 @@
 	mu sync.Mutex
 	// connections are the open connections by lease.
 	connections map[*budgeter.Lease]*connection
-	// counts are the connections and requests that were refused or closed since the last line in the log.
+	// counts are the connections and requests that were refused, closed or slowed down since the last line in the log.
 	counts map[budgeter.Cause]int
 }
 
-// New returns a limiter for a listener.
+// Listen opens a listener with the queue and the receive buffers of the limits, and returns its limiter.
+func Listen(address netip.AddrPort, limits budgeter.PoolLimits, options Options) (*Limiter, error) {
+	listener, err := binder.Listen(address, binder.Options{Backlog: limits.Backlog, ReceiveBuffer: limits.ReceiveBuffer})
+	if err != nil {
+		return nil, errors.Errorf("listener of %s: %w", options.Name, err)
+	}
+	return New(listener, limits, options), nil
+}
+
+// New returns a limiter for a listener that was opened with the queue and the receive buffers of the limits.
 func New(listener net.Listener, limits budgeter.PoolLimits, options Options) *Limiter {
 	return &Limiter{
 		Listener: listener, options: options, limits: limits, pool: budgeter.New(limits),
@@ -77,7 +88,7 @@
 			_ = c.Close()
 			continue
 		}
-		accepted := &connection{Conn: c, limiter: l, lease: lease}
+		accepted := &connection{Conn: c, limiter: l, lease: lease, receiveBuffer: l.limits.ReceiveBuffer}
 		l.mu.Lock()
 		l.connections[lease] = accepted
 		l.mu.Unlock()
@@ -116,7 +127,7 @@
 	l.counts[cause]++
 }
 
-// Run closes connections at their deadlines and logs once a second what was refused or closed, until ctx ends.
+// Run closes connections at their deadlines and logs once a second what was refused, closed or slowed down, until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
 	ticker := l.options.Clock.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -143,7 +154,7 @@
 		return
 	}
 	connections, memory := l.pool.Used()
-	l.options.Logger.Warn("clients: Connections or requests exceeded a limit and were refused or closed.", zap.String("listener", l.options.Name),
+	l.options.Logger.Warn("clients: Connections or requests exceeded a limit and were refused, closed or slowed down.", zap.String("listener", l.options.Name),
 		zap.Any("counts", counts), zap.Int("connections", connections), zap.Int64("memory", memory))
 }
 
--- a/internal/web/limiter/request.go
+++ b/internal/web/limiter/request.go
@@ -40,6 +40,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		c.enlarge(r.ContentLength)
 		body := &bodyReader{ReadCloser: r.Body, connection: c}
 		r.Body = body
 		response := &responseWriter{ResponseWriter: w, limiter: l, body: body, isSmall: r.ContentLength > 0 && r.ContentLength <= smallBody}
@@ -77,16 +78,23 @@
 	_ = http.NewResponseController(w).SetReadDeadline(l.options.Clock.Now())
 }
 
-// bodyReader notes the end of a body.
+// bodyReader notes the end of a body, and enlarges the receive buffer for one whose length was not known.
 type bodyReader struct {
 	io.ReadCloser
 	connection *connection
-	isAtEnd    bool
+	// received counts bytes up to the size of the first receive buffer.
+	received int
+	isAtEnd  bool
 }
 
 // Read reads from the body.
 func (b *bodyReader) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
+	if limits := b.connection.limiter.limits; b.received <= limits.ReceiveBuffer {
+		if b.received += n; b.received > limits.ReceiveBuffer && err == nil {
+			b.connection.enlarge(int64(limits.BodyBuffer))
+		}
+	}
 	if errors.Is(err, io.EOF) && !b.isAtEnd {
 		b.isAtEnd = true
 		b.connection.enter(budgeter.Handling)
