messenger: Count frames of peers in the memory of their listener

Callers saw a host end, out of memory, when connections to the address for peers sent frames of 4 MiB and stopped one byte short.

Cause: each frame was bounded, not their sum, and the connection of a peer left the budget when it left HTTP.

Now a frame reserves memory in the pool of the listener as it arrives, three times its size, until its call has been handled; a connection that finds none is closed, and one that has stalled for a second gives way. A Hello is at most 16 KiB. Frames on connections that this host dialled are not counted, as only members of the cell are dialled. A peer gets the large receive buffer if there is memory for it.

--- a/internal/peer/messenger/connection.go
+++ b/internal/peer/messenger/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+
+	"lentilrock.example/internal/web/budgeter"
+	"lentilrock.example/internal/web/limiter"
 )
 
 // unresponsiveTimeout is the minimum time that a call must have waited, without any frame
@@ -24,6 +28,8 @@
 	ready  chan struct{}
 	socket *websocket.Conn
 	peer   Hello
+	// memory is what frames of the peer may hold; those on connections that this host dialled are not counted.
+	memory limiter.Memory
 	// activeCalls is the number of the peer's calls that are being handled.
 	activeCalls atomic.Int64
 
@@ -48,7 +54,7 @@
 
 // handshake exchanges the Hello messages; the side that dialled sends first.
 func (c *connection) handshake(ctx context.Context, socket *websocket.Conn, isDialler bool) error {
-	socket.SetReadLimit(MaxFrameBytes)
+	socket.SetReadLimit(maxHelloBytes)
 	steps := []func(context.Context, *websocket.Conn) error{c.readHello, c.sendHello}
 	if isDialler {
 		slices.Reverse(steps)
@@ -58,6 +64,7 @@
 			return err
 		}
 	}
+	socket.SetReadLimit(MaxFrameBytes)
 	c.socket = socket
 	close(c.ready)
 	return nil
@@ -167,10 +174,14 @@
 
 // read processes incoming frames until the connection closes.
 func (c *connection) read() {
-	limiter := newLimiter()
+	frames := newLimiter()
 	for {
-		_, data, err := c.socket.Read(c.done)
-		if err != nil {
+		data, held, err := c.readFrame()
+		switch {
+		case errors.Is(err, budgeter.ErrBusy):
+			c.disconnect(errors.Errorf("frames of peers take all memory for them: %w", err))
+			return
+		case err != nil:
 			c.fail(errors.Errorf("read frame: %w", err))
 			return
 		}
@@ -178,7 +189,7 @@
 		c.mu.Lock()
 		c.lastReceivedAt = c.messenger.options.Clock.Now()
 		c.mu.Unlock()
-		if !limiter.AllowN(c.messenger.options.Clock.Now(), 1) {
+		if !frames.AllowN(c.messenger.options.Clock.Now(), 1) {
 			c.disconnect(errors.New("peer sends too many frames"))
 			return
 		}
@@ -189,15 +200,46 @@
 		}
 		if f.Kind == "" {
 			c.deliver(f)
+			c.memory.Release(held)
 			continue
 		}
-		if !c.handle(f) {
+		if !c.handle(f, held) {
 			c.disconnect(errors.New("peer has too many calls open"))
 			return
 		}
 	}
 }
 
+// readFrame reads a frame, and returns the memory that was reserved for it as it arrived. After an error the connection, and with
+// it what is reserved, has to be given up.
+func (c *connection) readFrame() (data []byte, held int64, err error) {
+	_, reader, err := c.socket.Reader(c.done)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "begin frame")
+	}
+	counted := &countingReader{Reader: reader, memory: c.memory}
+	data, err = io.ReadAll(counted)
+	return data, counted.held, errors.Wrap(err, "read to the end")
+}
+
+// countingReader reserves memory for what it reads.
+type countingReader struct {
+	io.Reader
+	memory limiter.Memory
+	held   int64
+}
+
+// Read returns an error marked budgeter.ErrBusy if there is no memory for the data.
+func (r *countingReader) Read(data []byte) (int, error) {
+	n, err := r.Reader.Read(data)
+	bytes := min(int64(n*frameFactor), r.memory.Largest()-r.held)
+	if busy := r.memory.Reserve(bytes); busy != nil {
+		return 0, errors.Wrap(busy, "hold frame")
+	}
+	r.held += bytes
+	return n, err
+}
+
 func (c *connection) disconnect(err error) {
 	c.messenger.options.Report("Peer violated the protocol or its limits; the connection is closed.", err)
 	c.fail(err)
@@ -213,14 +255,15 @@
 	}
 }
 
-// handle runs the handler of a request and sends its reply in a new goroutine. It reports
-// false, without running the handler, if maxCalls calls are already active.
-func (c *connection) handle(f frame) bool {
+// handle runs the handler of a request and sends its reply in a new goroutine, which then releases the memory that the request
+// held. It reports false, without running the handler, if maxCalls calls are already active.
+func (c *connection) handle(f frame, held int64) bool {
 	if c.activeCalls.Add(1) > maxCalls {
 		return false
 	}
 	go func() {
 		defer c.activeCalls.Add(-1)
+		defer c.memory.Release(held)
 		reply := frame{Ref: f.Ref}
 		handle, found := c.messenger.handlers[f.Kind]
 		if !found {
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -12,6 +12,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
+
+	"lentilrock.example/internal/web/limiter"
 )
 
 const (
@@ -23,6 +25,10 @@
 	writeTimeout    = 2 * time.Second
 	// maxCalls is the maximum number of calls handled at the same time for one connection.
 	maxCalls = 1_024
+	// frameFactor is the memory of a frame by byte: the buffer grows by copies, and the decoded body is another one.
+	frameFactor = 3
+	// maxHelloBytes is the maximum size of a Hello.
+	maxHelloBytes = 16 << 10
 )
 
 type handler func(ctx context.Context, from Hello, body []byte) (cbor.RawMessage, error)
@@ -206,6 +212,7 @@
 		return
 	}
 	c := newConnection(m)
+	c.memory = limiter.MemoryOf(r.Context())
 	handshakeCtx, cancel := context.WithTimeout(r.Context(), dialTimeout)
 	defer cancel()
 	if err := c.handshake(handshakeCtx, socket, false); err != nil {
--- a/internal/web/budgeter/budgeter.go
+++ b/internal/web/budgeter/budgeter.go
@@ -161,13 +161,13 @@
 	return shed, nil
 }
 
-// Retain adds memory to what the connection holds until it is closed, and reports whether it was free. It closes no other
-// connection, as the caller can go on without.
+// Retain adds memory to what the connection holds until it is closed, and reports whether there was some. It closes no other
+// connection, as the caller can go on without, and leaves half of the pool to requests.
 func (l *Lease) Retain(bytes int64) bool {
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.isClosed || p.used+bytes > p.limits.Memory {
+	if l.isClosed || p.used+bytes > p.limits.Memory/2 {
 		return false
 	}
 	l.retained += bytes
@@ -333,7 +333,7 @@
 	var least *Lease
 	hasMost := p.hasMost(l.address)
 	for other := range p.leases {
-		if other == l || needsMemory && other.reserved+other.retained == 0 || !p.mayShed(l.address, hasMost, other, now) {
+		if other == l || needsMemory && !other.mayFreeMemory() || !p.mayShed(l.address, hasMost, other, now) {
 			continue
 		}
 		if least == nil || compareProgress(other, least, now) < 0 {
@@ -355,6 +355,9 @@
 	return other.stall(now) >= MinStall
 }
 
+// mayFreeMemory reports whether a lease holds more than a connection without a request, other than a peer that sends nothing now.
+func (l *Lease) mayFreeMemory() bool { return l.reserved > 0 || l.retained > 0 && l.phase != Taken }
+
 // stall is for how long a connection has been in the way of others: the age of its request, or of the write in progress.
 func (l *Lease) stall(now time.Time) time.Duration {
 	switch {
--- a/internal/web/limiter/limiter.go
+++ b/internal/web/limiter/limiter.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -178,6 +179,7 @@
 				accepted.enter(budgeter.Idle)
 			case state == http.StateHijacked:
 				accepted.enter(budgeter.Taken)
+				accepted.enlarge(int64(l.limits.BodyBuffer))
 			}
 		},
 	}
@@ -185,19 +187,52 @@
 
 type contextKey struct{}
 
-// Reserve reserves memory for the request of ctx until its response is written, or returns an error marked budgeter.ErrBusy. A
-// request that needs more than half of the memory of its listener counts with half, so that it is served if there is no other.
-func Reserve(ctx context.Context, bytes int64) error {
-	c, found := ctx.Value(contextKey{}).(*connection)
-	if !found {
+// Memory is what the requests of one connection may hold. The zero value admits everything.
+type Memory struct {
+	connection *connection
+}
+
+// MemoryOf returns the memory of the connection of a request, or one that admits everything if its server has no limits. It is
+// valid after the connection has left HTTP, too.
+func MemoryOf(ctx context.Context) Memory {
+	c, _ := ctx.Value(contextKey{}).(*connection)
+	return Memory{connection: c}
+}
+
+// Largest returns the most that one request has to count: half of the memory of its listener, so that it is served if there is
+// no other.
+func (m Memory) Largest() int64 {
+	if m.connection == nil {
+		return math.MaxInt64
+	}
+	return m.connection.limiter.limits.Memory / 2
+}
+
+// Reserve reserves memory until Release, the response of an HTTP request or the end of the connection, or returns an error marked
+// budgeter.ErrBusy.
+func (m Memory) Reserve(bytes int64) error {
+	if m.connection == nil {
 		return nil
 	}
-	return c.reserve(min(bytes, c.limiter.limits.Memory/2))
+	return m.connection.reserve(bytes)
+}
+
+// Release returns memory that was reserved.
+func (m Memory) Release(bytes int64) {
+	if m.connection != nil {
+		m.connection.lease.Release(bytes)
+	}
+}
+
+// Reserve reserves memory for the request of ctx until its response is written, or returns an error marked budgeter.ErrBusy. A
+// request that needs more than Largest counts with that.
+func Reserve(ctx context.Context, bytes int64) error {
+	m := MemoryOf(ctx)
+	return m.Reserve(min(bytes, m.Largest()))
 }
 
 // Release returns memory that Reserve reserved, before the response is written.
 func Release(ctx context.Context, bytes int64) {
-	if c, found := ctx.Value(contextKey{}).(*connection); found {
-		c.lease.Release(min(bytes, c.limiter.limits.Memory/2))
-	}
+	m := MemoryOf(ctx)
+	m.Release(min(bytes, m.Largest()))
 }
