starter: Serve clients within a budget of memory and descriptors

Callers saw a "lentilrock serve" grow to over 500 MiB while some hundred clients sent bodies of 1 MiB and stopped one byte short. Their connections stayed open for good.

Cause: it had an http.Server with one deadline, for headers.

Now it has the listener, the pools and the deadlines of the entry host on the users' platform, with settings of its own. Its callers, operators, scrapers and probes share one address and so one pool. A connection that leaves HTTP moves to the pool of peers: otherwise a crowd of callers would have closed those that wait for a call.

--- a/internal/node/starter/starter.go
+++ b/internal/node/starter/starter.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,9 @@
 	"lentilrock.example/internal/platform/connector"
 	"lentilrock.example/internal/query/executor"
 	"lentilrock.example/internal/settings/checker"
+	"lentilrock.example/internal/web/binder"
+	"lentilrock.example/internal/web/budgeter"
+	"lentilrock.example/internal/web/limiter"
 )
 
 // Options configure a Node and supply its dependencies. Nil fields get the production
@@ -58,7 +62,8 @@
 var ErrSecondSignal = errors.New("second signal aborted the graceful shutdown")
 
 const (
-	headerTimeout = 5 * time.Second
+	// memoryLimitRatio is the share of the host's memory that is the soft memory limit of the Go runtime.
+	memoryLimitRatio = 0.6
 	// leaveDelay is the time for the load balancer and the peers to see that the host is leaving.
 	leaveDelay        = 500 * time.Millisecond
 	leavePollInterval = 20 * time.Millisecond
@@ -71,6 +76,7 @@
 	handler *handler.Handler
 	peers   *messenger.Messenger
 	socket  net.Listener
+	limiter *limiter.Limiter
 	server  *http.Server
 	metrics *collector.Collector
 	meter   connector.Meter
@@ -79,9 +85,12 @@
 }
 
 // New assembles a node and opens its socket. It returns an error if it cannot listen on the
-// address in the settings.
+// address in the settings. If they name the host's memory, it also sets the memory limit of the Go runtime.
 func New(options Options) (*Node, error) {
 	n := &Node{options: options}
+	if options.Settings.IsMemorySet {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(options.Settings.Clients.MemoryMB<<20)))
+	}
 	if err := n.openSocket(); err != nil {
 		return nil, errors.Errorf("start host %s: %w", options.Settings.Name, err)
 	}
@@ -110,7 +119,12 @@
 		Settings: s, Clock: n.options.Clock, Runner: n.runner, Executor: commands,
 		Messenger: n.peers, Metrics: n.metrics,
 	})
-	n.server = &http.Server{Handler: n.handler.Mux(), ReadHeaderTimeout: headerTimeout}
+	plan := s.Clients.Plan()
+	n.limiter = limiter.New(n.socket, plan[budgeter.Shared], limiter.Options{
+		Name: budgeter.Shared, Clock: n.options.Clock, Logger: n.options.Logger, Scope: n.metrics.Scope(),
+		Taken: budgeter.Peers, TakenLimits: plan[budgeter.Peers],
+	})
+	n.server = n.limiter.Server(n.handler.Mux())
 	return n, nil
 }
 
@@ -127,9 +141,10 @@
 	if n.socket != nil {
 		return nil
 	}
-	socket, err := net.Listen("tcp", n.options.Settings.Listen.String())
+	limits := n.options.Settings.Clients.Plan()[budgeter.Shared]
+	socket, err := binder.Listen(n.options.Settings.Listen, binder.Options{Backlog: limits.Backlog, ReceiveBuffer: limits.ReceiveBuffer})
 	if err != nil {
-		return errors.Errorf("listen on %s: %w", n.options.Settings.Listen, err)
+		return errors.Wrap(err, "open listener")
 	}
 	n.socket = socket
 	return nil
@@ -179,6 +194,7 @@
 	for name, value := range values {
 		scope.Gauge(name).Update(float64(value))
 	}
+	n.limiter.UpdateGauges(scope)
 	scope.Gauge("requests_in_flight").Update(float64(n.handler.InFlight()))
 }
 
@@ -196,7 +212,8 @@
 	n.options.Logger.Info("serve: Listening.", zap.String("address", address.String()),
 		zap.String("host", n.runner.Self().String()))
 	served := make(chan error, 1)
-	go func() { served <- n.server.Serve(n.socket) }()
+	go n.limiter.Run(runCtx)
+	go func() { served <- n.server.Serve(n.limiter) }()
 	done := make(chan struct{})
 	go func() {
 		n.runner.Run(runCtx)
--- a/internal/settings/checker/checker.go
+++ b/internal/settings/checker/checker.go
@@ -17,6 +17,7 @@
 	"lentilrock.example/internal/core/limiter"
 	"lentilrock.example/internal/core/pacer"
 	"lentilrock.example/internal/core/snapshotter"
+	"lentilrock.example/internal/web/budgeter"
 )
 
 // Fault is one invalid, missing or unknown key of a settings file.
@@ -132,10 +133,27 @@
 		Pprof:            r.flag("debug.pprof"),
 		SnapshotEvery:    r.number("log.snapshot_every", snapshotter.DefaultEvery, 10, 1<<30),
 	}
+	s.Clients = r.clients()
+	_, s.IsMemorySet = r.text("limits.memory_mb")
 	r.checkConsistency(s)
 	return s
 }
 
+// clients reads the limits for clients.
+func (r *reader) clients() budgeter.Limits {
+	return budgeter.Limits{
+		MemoryMB:        r.number("limits.memory_mb", DefaultMemoryMB, 32, 1<<30),
+		MaxFDs:          r.number("limits.max_fds", DefaultMaxFDs, 256, 1<<20),
+		MaxHeaderBytes:  r.number("limits.max_header_bytes", budgeter.DefaultMaxHeaderBytes, 4<<10, 1<<20),
+		ReceiveBuffer:   r.number("limits.receive_buffer_bytes", budgeter.DefaultReceiveBuffer, 2304, 1<<20),
+		BodyBuffer:      r.number("limits.body_buffer_bytes", budgeter.DefaultBodyBuffer, 2304, 1<<20),
+		HeaderTimeout:   r.duration("limits.header_timeout", budgeter.DefaultHeaderTimeout, time.Second, time.Hour),
+		BodyTimeout:     r.duration("limits.body_timeout", budgeter.DefaultBodyTimeout, time.Second, time.Hour),
+		IdleTimeout:     r.duration("limits.idle_timeout", budgeter.DefaultIdleTimeout, time.Second, time.Hour),
+		ResponseTimeout: r.duration("limits.response_timeout", budgeter.DefaultResponseTimeout, time.Second, time.Hour),
+	}
+}
+
 // checkConsistency checks settings that depend on each other.
 func (r *reader) checkConsistency(s Settings) {
 	if s.DataCentre != "" && len(s.Layout.DataCentres) > 0 && !slices.Contains(s.Layout.DataCentres, s.DataCentre) {
--- a/internal/settings/checker/settings.go
+++ b/internal/settings/checker/settings.go
@@ -20,6 +20,7 @@
 	"lentilrock.example/internal/core/claimer"
 	"lentilrock.example/internal/core/limiter"
 	"lentilrock.example/internal/core/pacer"
+	"lentilrock.example/internal/web/budgeter"
 )
 
 // Settings are the settings of an entry host. Their keys in the file are listed in reader.settings.
@@ -37,6 +38,9 @@
 	Requests        limiter.Options
 	// MaxBodyBytes limits the body of a caller's request, in bytes.
 	MaxBodyBytes int64
+	// Clients limit what clients may use of the process. Its MemoryMB is always set, also if IsMemorySet is false.
+	Clients     budgeter.Limits
+	IsMemorySet bool
 	// MaxResponseBytes limits the body of an upstream's response, in bytes.
 	MaxResponseBytes int
 	// ShutdownGrace is how long a graceful shutdown waits for work in flight.
@@ -55,6 +59,8 @@
 // Defaults of the settings. Sizes are in bytes.
 const (
 	DefaultMaxBodyBytes     = 1 << 20
+	DefaultMemoryMB         = 1024
+	DefaultMaxFDs           = 16_384
 	DefaultMaxResponseBytes = 4 << 20
 	DefaultShutdownGrace    = 20 * time.Second
 	DefaultRequestTimeout   = 10 * time.Second
--- a/internal/web/budgeter/budgeter.go
+++ b/internal/web/budgeter/budgeter.go
@@ -188,6 +188,12 @@
 	l.pool.add(l, 0, -bytes)
 }
 
+// Address returns the address of the client.
+func (l *Lease) Address() netip.Addr { return l.address }
+
+// Limits returns the limits of the pool.
+func (l *Lease) Limits() PoolLimits { return l.pool.limits }
+
 // IsClosed reports whether the lease holds nothing any more.
 func (l *Lease) IsClosed() bool {
 	l.pool.mu.Lock()
--- a/internal/web/limiter/connection.go
+++ b/internal/web/limiter/connection.go
@@ -1,7 +1,9 @@
 package limiter
 
 import (
+	"math"
 	"net"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,7 +18,10 @@
 type connection struct {
 	net.Conn
 	limiter *Limiter
-	lease   *budgeter.Lease
+	// lease is what the connection holds now. It is replaced when the connection leaves HTTP, under limiter.mu.
+	lease atomic.Pointer[budgeter.Lease]
+	// isClosed is guarded by limiter.mu.
+	isClosed bool
 	// receiveBuffer is the size of the kernel's buffer in bytes. Only the goroutine that reads from the connection uses it.
 	receiveBuffer int
 }
@@ -24,11 +29,11 @@
 // enlarge gives the connection a larger receive buffer for a body of which that many bytes may follow, if there is memory for what
 // the kernel may hold then. Without one the body takes more round trips.
 func (c *connection) enlarge(bytes int64) {
-	size := int(min(bytes, int64(c.limiter.limits.BodyBuffer)))
+	size := int(min(bytes, int64(c.lease.Load().Limits().BodyBuffer)))
 	if size <= c.receiveBuffer {
 		return
 	}
-	if !c.lease.Retain(budgeter.UnreadBytes(size) - budgeter.UnreadBytes(c.receiveBuffer)) {
+	if !c.lease.Load().Retain(budgeter.UnreadBytes(size) - budgeter.UnreadBytes(c.receiveBuffer)) {
 		c.limiter.count(budgeter.CauseBuffer)
 		return
 	}
@@ -37,11 +42,13 @@
 	_ = binder.SetReceiveBuffer(c.Conn, size)
 }
 
-func (c *connection) enter(phase budgeter.Phase) { c.lease.Enter(phase, c.limiter.options.Clock.Now()) }
+func (c *connection) enter(phase budgeter.Phase) {
+	c.lease.Load().Enter(phase, c.limiter.options.Clock.Now())
+}
 
 // reserve reserves memory, and closes the connections that are shed for it.
 func (c *connection) reserve(bytes int64) error {
-	shed, err := c.lease.Reserve(bytes, c.limiter.options.Clock.Now())
+	shed, err := c.lease.Load().Reserve(bytes, c.limiter.options.Clock.Now())
 	c.limiter.closeAll(shed)
 	if err != nil {
 		c.limiter.count(budgeter.CauseMemory)
@@ -56,12 +63,12 @@
 	if n == 0 {
 		return n, err
 	}
-	phase := c.lease.Phase()
+	phase := c.lease.Load().Phase()
 	if phase == budgeter.Idle {
 		phase = budgeter.Header
 		c.enter(phase)
 	}
-	c.lease.Receive(n, c.limiter.options.Clock.Now())
+	c.lease.Load().Receive(n, c.limiter.options.Clock.Now())
 	var factor int
 	switch phase {
 	case budgeter.Header:
@@ -79,24 +86,55 @@
 
 // Write writes; a write that is blocked for too long ends with the connection.
 func (c *connection) Write(data []byte) (int, error) {
-	if len(data) > largeWrite && c.lease.Phase() != budgeter.Taken {
-		held := min(int64(len(data)), c.limiter.limits.Memory/2)
+	if len(data) > largeWrite && c.lease.Load().Phase() != budgeter.Taken {
+		held := min(int64(len(data)), c.lease.Load().Limits().Memory/2)
 		if err := c.reserve(held); err != nil {
 			return 0, err
 		}
-		defer c.lease.Release(held)
+		defer c.lease.Load().Release(held)
 	}
-	c.lease.BeginWrite(c.limiter.options.Clock.Now())
-	defer c.lease.EndWrite()
+	c.lease.Load().BeginWrite(c.limiter.options.Clock.Now())
+	defer c.lease.Load().EndWrite()
 	return c.Conn.Write(data)
 }
 
+// leaveHTTP moves the connection to the pool of those that have left HTTP, or closes it if there is no room.
+func (c *connection) leaveHTTP() {
+	l, former, now := c.limiter, c.lease.Load(), c.limiter.options.Clock.Now()
+	if l.taken != l.pool {
+		lease, shed, err := l.taken.Open(former.Address(), now)
+		l.closeAll(shed)
+		if err != nil {
+			l.count(budgeter.CauseConnections)
+			_ = c.Close()
+			return
+		}
+		l.mu.Lock()
+		delete(l.connections, former)
+		c.lease.Store(lease)
+		if !c.isClosed {
+			l.connections[lease] = c
+		}
+		isClosed := c.isClosed || lease.IsClosed()
+		l.mu.Unlock()
+		former.Close()
+		if isClosed {
+			_ = c.Close()
+			return
+		}
+	}
+	c.enter(budgeter.Taken)
+	c.enlarge(math.MaxInt64)
+}
+
 // Close closes the connection and releases all that it holds.
 func (c *connection) Close() error {
 	c.limiter.mu.Lock()
-	delete(c.limiter.connections, c.lease)
+	c.isClosed = true
+	lease := c.lease.Load()
+	delete(c.limiter.connections, lease)
 	c.limiter.mu.Unlock()
 	err := c.Conn.Close()
-	c.lease.Close()
+	lease.Close()
 	return err
 }
--- a/internal/web/limiter/limiter.go
+++ b/internal/web/limiter/limiter.go
@@ -39,6 +39,10 @@
 	Clock  clockwork.Clock
 	Logger *zap.Logger
 	Scope  tally.Scope
+	// Taken names the pool of connections that leave HTTP, such as those of peers, and TakenLimits are its limits. If Taken is empty,
+	// they stay in the pool of the listener.
+	Taken       string
+	TakenLimits budgeter.PoolLimits
 }
 
 // Limiter is a net.Listener that closes connections over the limit.
@@ -47,6 +51,8 @@
 	options Options
 	limits  budgeter.PoolLimits
 	pool    *budgeter.Pool
+	// taken is the pool of connections that have left HTTP; it may be pool.
+	taken *budgeter.Pool
 
 	mu sync.Mutex
 	// connections are the open connections by lease.
@@ -66,10 +72,14 @@
 
 // New returns a limiter for a listener that was opened with the queue and the receive buffers of the limits.
 func New(listener net.Listener, limits budgeter.PoolLimits, options Options) *Limiter {
-	return &Limiter{
+	l := &Limiter{
 		Listener: listener, options: options, limits: limits, pool: budgeter.New(limits),
 		connections: make(map[*budgeter.Lease]*connection), counts: make(map[budgeter.Cause]int),
 	}
+	if l.taken = l.pool; options.Taken != "" {
+		l.taken = budgeter.New(options.TakenLimits)
+	}
+	return l
 }
 
 // Accept returns the next connection within the limits, and closes the others.
@@ -89,7 +99,8 @@
 			_ = c.Close()
 			continue
 		}
-		accepted := &connection{Conn: c, limiter: l, lease: lease, receiveBuffer: l.limits.ReceiveBuffer}
+		accepted := &connection{Conn: c, limiter: l, receiveBuffer: l.limits.ReceiveBuffer}
+		accepted.lease.Store(lease)
 		l.mu.Lock()
 		l.connections[lease] = accepted
 		l.mu.Unlock()
@@ -137,6 +148,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.Chan():
+			// Those that have left HTTP have no deadlines.
 			for _, expiry := range l.pool.Expired(now) {
 				l.close(expiry.Lease, expiry.Cause)
 			}
@@ -161,10 +173,16 @@
 
 // UpdateGauges updates the gauges of what clients hold.
 func (l *Limiter) UpdateGauges(scope tally.Scope) {
-	connections, memory := l.pool.Used()
-	tagged := scope.Tagged(map[string]string{"listener": l.options.Name})
-	tagged.Gauge("client_connections").Update(float64(connections))
-	tagged.Gauge("client_memory_bytes").Update(float64(memory))
+	pools := map[string]*budgeter.Pool{l.options.Name: l.pool}
+	if l.taken != l.pool {
+		pools[l.options.Taken] = l.taken
+	}
+	for name, pool := range pools {
+		connections, memory := pool.Used()
+		tagged := scope.Tagged(map[string]string{"listener": name})
+		tagged.Gauge("client_connections").Update(float64(connections))
+		tagged.Gauge("client_memory_bytes").Update(float64(memory))
+	}
 }
 
 // Server returns a server for the limiter's connections. The caller may set its BaseContext.
@@ -178,8 +196,7 @@
 			case state == http.StateIdle:
 				accepted.enter(budgeter.Idle)
 			case state == http.StateHijacked:
-				accepted.enter(budgeter.Taken)
-				accepted.enlarge(int64(l.limits.BodyBuffer))
+				accepted.leaveHTTP()
 			}
 		},
 	}
@@ -205,7 +222,7 @@
 	if m.connection == nil {
 		return math.MaxInt64
 	}
-	return m.connection.limiter.limits.Memory / 2
+	return m.connection.lease.Load().Limits().Memory / 2
 }
 
 // Reserve reserves memory until Release, the response of an HTTP request or the end of the connection, or returns an error marked
@@ -220,7 +237,7 @@
 // Release returns memory that was reserved.
 func (m Memory) Release(bytes int64) {
 	if m.connection != nil {
-		m.connection.lease.Release(bytes)
+		m.connection.lease.Load().Release(bytes)
 	}
 }
 
