budgeter: Keep the pools of all listeners within the clients' share

With 4,100 descriptors a host keeps memory for 487 peers, whatever memory it has: 27 MiB on one of 160 MiB, where the share of peers is 6.

What peers need beyond their share is now taken from the other listeners, and they need a quarter more than their connections, as frames are counted apart. Callers have 457 connections at 160 MiB and 547 at 184.

TestPlanFitsTheShare fails without it at 160 and 4,100, and holds for six sizes of hosts, with listeners of their own or a shared one.

--- a/internal/web/budgeter/budgeter_test.go
+++ b/internal/web/budgeter/budgeter_test.go
@@ -121,8 +121,11 @@
 // TestPlanFitsTheShare guards against listeners whose memory is in sum over the clients' share of the host's, with what the kernel
 // holds for connections that wait to be accepted.
 func TestPlanFitsTheShare(t *testing.T) {
-	for _, memoryMB := range []int64{64, 160, 184, 536} {
-		plan := budgeter.Limits{MemoryMB: memoryMB, MaxFDs: 300, MemoryShare: 0.4}.Plan()
+	for _, limits := range []budgeter.Limits{
+		{MemoryMB: 64, MaxFDs: 300}, {MemoryMB: 64, MaxFDs: 1 << 20}, {MemoryMB: 160, MaxFDs: 4100}, {MemoryMB: 184, MaxFDs: 4100},
+		{MemoryMB: 536, MaxFDs: 8192}, {MemoryMB: 1024, MaxFDs: 16_384, MemoryShare: 0.4},
+	} {
+		plan := limits.Plan()
 		apart, together := int64(0), int64(0)
 		for name, pool := range plan {
 			sum := pool.Memory + int64(pool.Backlog)*budgeter.UnreadBytes(pool.ReceiveBuffer)
@@ -133,8 +136,8 @@
 				together += sum
 			}
 		}
-		require.LessOrEqual(t, apart, memoryMB<<20*4/10)
-		require.LessOrEqual(t, together, memoryMB<<20*4/10)
+		require.LessOrEqual(t, apart, limits.MemoryMB<<20*4/10)
+		require.LessOrEqual(t, together, limits.MemoryMB<<20*4/10)
 	}
 }
 
--- a/internal/web/budgeter/limits.go
+++ b/internal/web/budgeter/limits.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"lentilrock.example/internal/web/binder"
@@ -93,6 +95,8 @@
 	// backlogDivisor is the part of a listener's memory for connections that are not accepted yet.
 	backlogDivisor = 4
 	minBacklog     = 16
+	// peersMargin of peersBase is the memory of peers by that of their connections.
+	peersMargin, peersBase = 5, 4
 )
 
 // UnreadBytes returns what the kernel holds at most for a receive buffer of the given size.
@@ -101,28 +105,54 @@
 // connectionBytes returns the memory of a connection without a request.
 func (l PoolLimits) connectionBytes() int64 { return ConnectionBytes + UnreadBytes(l.ReceiveBuffer) }
 
-// Plan returns the limits of each listener.
+// pool returns the limits of a listener with a share of the clients' memory and so many descriptors.
+func (l Limits) pool(share, fds int64) PoolLimits {
+	queued := share / backlogDivisor
+	pool := PoolLimits{
+		Connections: int(max(fds, minConnections)), Memory: share - queued,
+		ReceiveBuffer: int(cmp.Or(l.ReceiveBuffer, DefaultReceiveBuffer)), BodyBuffer: int(cmp.Or(l.BodyBuffer, DefaultBodyBuffer)),
+		MaxHeaderBytes: int(cmp.Or(l.MaxHeaderBytes, DefaultMaxHeaderBytes)),
+		HeaderTimeout:  cmp.Or(l.HeaderTimeout, DefaultHeaderTimeout), BodyTimeout: cmp.Or(l.BodyTimeout, DefaultBodyTimeout),
+		IdleTimeout: cmp.Or(l.IdleTimeout, DefaultIdleTimeout), ResponseTimeout: cmp.Or(l.ResponseTimeout, DefaultResponseTimeout),
+	}
+	pool.Backlog = int(max(queued/UnreadBytes(pool.ReceiveBuffer), minBacklog))
+	return pool
+}
+
+// peersFirst orders the names of listeners.
+func peersFirst(a, b string) int {
+	switch {
+	case a == b:
+		return 0
+	case a == Peers:
+		return -1
+	case b == Peers:
+		return 1
+	}
+	return cmp.Compare(a, b)
+}
+
+// Plan returns the limits of each listener. With those of Shared or without, their memory and what the kernel holds for connections
+// that wait to be accepted is within the clients' share, unless that is under 1 MiB.
 func (l Limits) Plan() map[string]PoolLimits {
 	memory := int64(float64(cmp.Or(l.MemoryMB, DefaultMemoryMB)*mebibyte) * cmp.Or(l.MemoryShare, DefaultMemoryShare))
 	fds := max(cmp.Or(l.MaxFDs, DefaultMaxFDs)-fileFDs, 0)
 	plan := make(map[string]PoolLimits, len(parts))
-	for name, part := range parts {
-		share := memory * part.memory / memoryParts
-		queued := share / backlogDivisor
-		pool := PoolLimits{
-			Connections: int(max(fds*part.fds/fdParts, minConnections)), Memory: share - queued,
-			ReceiveBuffer: int(cmp.Or(l.ReceiveBuffer, DefaultReceiveBuffer)), BodyBuffer: int(cmp.Or(l.BodyBuffer, DefaultBodyBuffer)),
-			MaxHeaderBytes: int(cmp.Or(l.MaxHeaderBytes, DefaultMaxHeaderBytes)),
-			HeaderTimeout:  cmp.Or(l.HeaderTimeout, DefaultHeaderTimeout), BodyTimeout: cmp.Or(l.BodyTimeout, DefaultBodyTimeout),
-			IdleTimeout: cmp.Or(l.IdleTimeout, DefaultIdleTimeout), ResponseTimeout: cmp.Or(l.ResponseTimeout, DefaultResponseTimeout),
-		}
-		pool.Backlog = int(max(queued/UnreadBytes(pool.ReceiveBuffer), minBacklog))
-		// Connections without requests take at most half of the memory, so that those with requests have the rest. The number of
-		// peers is that of the cell, whatever memory this host has.
+	for _, name := range slices.SortedFunc(maps.Keys(parts), peersFirst) {
+		part := parts[name]
+		pool := l.pool(memory*part.memory/memoryParts, fds*part.fds/fdParts)
 		if name == Peers {
-			pool.Memory = max(pool.Memory, 2*int64(pool.Connections)*pool.connectionBytes())
+			// The number of peers is that of the cell, whatever memory this host has. What they need beyond their share is taken
+			// from all others.
+			needed := int64(pool.Connections) * pool.connectionBytes() * peersMargin / peersBase
+			if missing := min(needed-pool.Memory, memory/2); missing > 0 {
+				pool.Memory += missing
+				memory -= missing * memoryParts / (memoryParts - part.memory)
+			}
+		} else {
+			// Connections without requests take at most half of the memory, so that those with requests have the rest.
+			pool.Connections = max(min(pool.Connections, int(pool.Memory/2/pool.connectionBytes())), minConnections)
 		}
-		pool.Connections = max(min(pool.Connections, int(pool.Memory/2/pool.connectionBytes())), minConnections)
 		plan[name] = pool
 	}
 	return plan
