responder: Reserve the memory of a body before it is decoded

Callers saw a "lentilrock serve" over its memory under 400 whole bodies of 1 MiB with lists of empty texts, which take 16 bytes for each three and a copy of that while they grow. The budget knew only the text.

Now the decoded form is reserved, 16 times the text, until the response is written. A body for which other requests leave no memory is refused with 503 and Retry-After, for a caller's request as one that has not run; one over the limit is refused with 413 on the paths of jobs and commands, too.

--- a/internal/node/handler/handler.go
+++ b/internal/node/handler/handler.go
@@ -29,6 +29,7 @@
 	"lentilrock.example/internal/peer/speaker"
 	"lentilrock.example/internal/query/executor"
 	"lentilrock.example/internal/settings/checker"
+	"lentilrock.example/internal/web/budgeter"
 	"lentilrock.example/internal/web/responder"
 )
 
@@ -120,10 +121,10 @@
 	}
 	request, err := h.readRequest(r)
 	switch {
-	case errors.Is(err, responder.ErrTooLarge):
-		responder.Fail(w, http.StatusRequestEntityTooLarge, err)
+	case errors.Is(err, budgeter.ErrBusy):
+		h.writeReply(w, speaker.CallerReply{Key: request.Key, State: signaller.AnswerRefused, Reason: err.Error(), RetryAfter: time.Second})
 	case err != nil:
-		responder.Fail(w, http.StatusBadRequest, err)
+		responder.Reject(w, err)
 	default:
 		h.writeReply(w, h.options.Runner.Request(r.Context(), request))
 	}
@@ -249,7 +250,7 @@
 func (h *Handler) handleSubmit(w http.ResponseWriter, r *http.Request) {
 	job, err := responder.Read[descriptor.Job](r, h.options.Settings.MaxBodyBytes)
 	if err != nil {
-		responder.Fail(w, http.StatusBadRequest, err)
+		responder.Reject(w, err)
 		return
 	}
 	if err := job.Check(); err != nil {
@@ -283,7 +284,7 @@
 func (h *Handler) handleCommand(w http.ResponseWriter, r *http.Request) {
 	command, err := responder.Read[executor.Command](r, h.options.Settings.MaxBodyBytes)
 	if err != nil {
-		responder.Fail(w, http.StatusBadRequest, err)
+		responder.Reject(w, err)
 		return
 	}
 	command.Author = author(r)
--- a/internal/web/responder/responder.go
+++ b/internal/web/responder/responder.go
@@ -5,7 +5,7 @@
 //
 //	body, err := responder.Read[submitBody](r, maxBody)
 //	if err != nil {
-//		responder.Fail(w, http.StatusBadRequest, err)
+//		responder.Reject(w, err)
 //		return
 //	}
 //	responder.JSON(w, http.StatusOK, response)
@@ -17,6 +17,9 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"lentilrock.example/internal/web/budgeter"
+	"lentilrock.example/internal/web/limiter"
 )
 
 // ErrTooLarge reports a request body that exceeds its size limit.
@@ -48,6 +51,20 @@
 	JSON(w, status, Problem{Error: err.Error()})
 }
 
+// Reject writes the error response for a body that ReadBytes or Read could not read: 503 with Retry-After if other requests take the
+// memory for it, 413 if it is too large, or else 400.
+func Reject(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, budgeter.ErrBusy):
+		w.Header().Set("Retry-After", "1")
+		status = http.StatusServiceUnavailable
+	case errors.Is(err, ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	}
+	Fail(w, status, err)
+}
+
 // ReadBytes reads a request body of at most limit bytes. For a longer body it returns an
 // error that wraps ErrTooLarge.
 func ReadBytes(r *http.Request, limit int64) ([]byte, error) {
@@ -61,14 +78,21 @@
 	return data, nil
 }
 
-// Read decodes a JSON request body of at most limit bytes. Its errors are those of ReadBytes
-// and of decoding.
+// decodedFactor is the memory of a decoded body by byte of its text: a list of empty texts takes 16 bytes for each three, and a
+// copy of that while it grows.
+const decodedFactor = 16
+
+// Read decodes a JSON request body of at most limit bytes, within the memory of its listener. Its errors are those of ReadBytes, of
+// limiter.Reserve and of decoding.
 func Read[T any](r *http.Request, limit int64) (T, error) {
 	var value T
 	data, err := ReadBytes(r, limit)
 	if err != nil {
 		return value, errors.Errorf("read request: %w", err)
 	}
+	if err := limiter.Reserve(r.Context(), int64(len(data))*decodedFactor); err != nil {
+		return value, errors.Errorf("decode body of %d bytes: %w", len(data), err)
+	}
 	if err := json.Unmarshal(data, &value); err != nil {
 		return value, errors.Errorf("decode body: %w", err)
 	}
