limiter: Refuse a header without memory with 503, let refusals arrive

Callers saw 400 Bad Request, which they take for final, when a full host had no memory for the header of a request, and a reset connection in place of a refusal while they were still sending a body.

Cause: the server replies 400 to any error while it reads a header; and a connection that is closed with unread data is reset, which discards the reply that the client has not read yet. The wrapped connection also hid CloseWrite, without which the server does not end its own side first.

Now the limiter replies 503 with Retry-After by itself, and a connection whose response did not wait for the rest of the request is read for up to 100 ms or 1 MiB before it is closed. One that is shed is closed at once.

--- a/internal/web/limiter/connection.go
+++ b/internal/web/limiter/connection.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"io"
 	"math"
 	"net"
 	"sync/atomic"
@@ -11,6 +12,9 @@
 	"lentilrock.example/internal/web/budgeter"
 )
 
+// maxLingerBytes is how much of a request is read after its response.
+const maxLingerBytes = 1 << 20
+
 // largeWrite is the size from which on data counts while it is written. Smaller data is in the buffer of the connection.
 const largeWrite = 4 << 10
 
@@ -20,6 +24,8 @@
 	limiter *Limiter
 	// lease is what the connection holds now. It is replaced when the connection leaves HTTP, under limiter.mu.
 	lease atomic.Pointer[budgeter.Lease]
+	// lingers is set if the response did not wait for the rest of the request.
+	lingers atomic.Bool
 	// isClosed is guarded by limiter.mu.
 	isClosed bool
 	// receiveBuffer is the size of the kernel's buffer in bytes. Only the goroutine that reads from the connection uses it.
@@ -57,7 +63,7 @@
 }
 
 // Read reads, and reserves the memory that the decoded form of the data takes. It returns an error marked budgeter.ErrBusy,
-// which ends the request, if there is none.
+// which ends the request, if there is none; the client has had its reply if that was the request's header.
 func (c *connection) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if n == 0 {
@@ -79,11 +85,44 @@
 		return n, err
 	}
 	if busy := c.reserve(int64(n * factor)); busy != nil {
+		if phase == budgeter.Header {
+			return 0, c.refuseHeader(busy)
+		}
 		return 0, busy
 	}
 	return n, err
 }
 
+// refuseHeader replies to a request whose header finds no memory, and returns the error that makes the server close the connection
+// without a reply of its own, which would be 400 Bad Request.
+func (c *connection) refuseHeader(busy error) error {
+	const reply = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// A client that does not read is not waited for.
+	_ = c.Conn.SetWriteDeadline(c.limiter.options.Clock.Now().Add(discardTime))
+	if _, err := c.Conn.Write([]byte(reply)); err == nil {
+		c.lingers.Store(true)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: busy}
+}
+
+// CloseWrite closes the side of the connection on which the process sends.
+func (c *connection) CloseWrite() error {
+	half, canClose := c.Conn.(interface{ CloseWrite() error })
+	if !canClose {
+		return errors.ErrUnsupported
+	}
+	return errors.Wrap(half.CloseWrite(), "close for writing")
+}
+
+// linger reads for a short time what the client still sends. A connection that is closed with unread data is reset, and the client
+// may then lose its response.
+func (c *connection) linger() {
+	_ = c.Conn.SetDeadline(c.limiter.options.Clock.Now().Add(discardTime))
+	if c.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+	}
+}
+
 // Write writes; a write that is blocked for too long ends with the connection.
 func (c *connection) Write(data []byte) (int, error) {
 	if len(data) > largeWrite && c.lease.Load().Phase() != budgeter.Taken {
@@ -106,7 +145,7 @@
 		l.closeAll(shed)
 		if err != nil {
 			l.count(budgeter.CauseConnections)
-			_ = c.Close()
+			_ = c.abort()
 			return
 		}
 		l.mu.Lock()
@@ -119,7 +158,7 @@
 		l.mu.Unlock()
 		former.Close()
 		if isClosed {
-			_ = c.Close()
+			_ = c.abort()
 			return
 		}
 	}
@@ -127,8 +166,17 @@
 	c.enlarge(math.MaxInt64)
 }
 
-// Close closes the connection and releases all that it holds.
+// Close closes the connection and releases all that it holds, after a moment for the client to read a response that did not wait for
+// the rest of its request.
 func (c *connection) Close() error {
+	if c.lingers.Swap(false) {
+		c.linger()
+	}
+	return c.abort()
+}
+
+// abort closes the connection at once and releases all that it holds.
+func (c *connection) abort() error {
 	c.limiter.mu.Lock()
 	c.isClosed = true
 	lease := c.lease.Load()
--- a/internal/web/limiter/limiter.go
+++ b/internal/web/limiter/limiter.go
@@ -106,7 +106,7 @@
 		l.mu.Unlock()
 		if lease.IsClosed() {
 			// It was shed before it could be found by its lease.
-			_ = accepted.Close()
+			_ = accepted.abort()
 			continue
 		}
 		return accepted, nil
@@ -128,7 +128,7 @@
 	l.mu.Unlock()
 	if c != nil {
 		// The error is that of a connection that is closed already.
-		_ = c.Close()
+		_ = c.abort()
 	}
 }
 
--- a/internal/web/limiter/request.go
+++ b/internal/web/limiter/request.go
@@ -34,6 +34,7 @@
 			w.Header().Set("Connection", "close")
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			l.endReads(w)
+			c.lingers.Store(true)
 			return
 		}
 		if !hasBody {
@@ -48,6 +49,7 @@
 		response.prepare()
 		if response.endsConnection {
 			l.endReads(w)
+			c.lingers.Store(true)
 		}
 	})
 }
