--- a/internal/web/limiter/connection.go
+++ b/internal/web/limiter/connection.go
@@ -98,7 +98,7 @@
 func (c *connection) refuseHeader(busy error) error {
 	const reply = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	// A client that does not read is not waited for.
-	_ = c.Conn.SetWriteDeadline(c.limiter.options.Clock.Now().Add(discardTime))
+	_ = c.SetWriteDeadline(c.limiter.options.Clock.Now().Add(discardTime))
 	if _, err := c.Conn.Write([]byte(reply)); err == nil {
 		c.lingers.Store(true)
 	}
@@ -117,7 +117,7 @@
 // linger reads for a short time what the client still sends. A connection that is closed with unread data is reset, and the client
 // may then lose its response.
 func (c *connection) linger() {
-	_ = c.Conn.SetDeadline(c.limiter.options.Clock.Now().Add(discardTime))
+	_ = c.SetDeadline(c.limiter.options.Clock.Now().Add(discardTime))
 	if c.CloseWrite() == nil {
 		_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
 	}
