budgeter: Search for several connections to shed at once

A search now keeps the first 64 that it finds, in order, for 50 ms. A later one is taken from them if it still may be closed and has made no progress.

--- a/internal/web/budgeter/budgeter.go
+++ b/internal/web/budgeter/budgeter.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,9 +26,14 @@
 // time that a client within the limits needs to send a request.
 const MinStall = time.Second
 
-// searchPause is the time between two fruitless searches in favour of one address. A search looks at all connections, which
-// would take much of a small host's processor if it followed each of thousands of connections a second.
-const searchPause = 50 * time.Millisecond
+// A search for connections to shed looks at all of them, which would take much of a small host's processor for each of thousands of
+// requests a second.
+const (
+	// searchPause is for how long the result of a search is used, and the time between two fruitless searches by one address.
+	searchPause = 50 * time.Millisecond
+	// foundAtOnce is how many connections a search finds.
+	foundAtOnce = 64
+)
 
 // ErrBusy means that the clients of a listener hold all that there is for them.
 var ErrBusy = errors.New("the host serves too many requests")
@@ -80,8 +86,8 @@
 	used   int64
 	// held is what each client address holds.
 	held map[netip.Addr]holding
-	// fruitless is the last search for a connection to shed that found none.
-	fruitless search
+	// last is the last search for connections to shed.
+	last search
 }
 
 type holding struct {
@@ -89,11 +95,28 @@
 	memory      int64
 }
 
-// search is a search for a connection to shed, in favour of an address.
-type search struct {
+// searcher is an address that needs connections or memory.
+type searcher struct {
 	address     netip.Addr
 	needsMemory bool
-	at          time.Time
+	// hasMost reports whether the address holds more than its part.
+	hasMost bool
+}
+
+// search is a search for connections to shed.
+type search struct {
+	by searcher
+	at time.Time
+	// found are those that are left of what was found, least progress first.
+	found       []candidate
+	isFruitless bool
+}
+
+// candidate is a lease with its progress at the time of a search.
+type candidate struct {
+	lease     *Lease
+	startedAt time.Time
+	received  int64
 }
 
 // Lease is what one connection holds.
@@ -320,12 +343,8 @@
 func (p *Pool) shed(l *Lease, now time.Time, needsMemory bool, isWithin func() bool) []*Lease {
 	var shed []*Lease
 	for !isWithin() {
-		if f := p.fruitless; f.address == l.address && f.needsMemory == needsMemory && now.Sub(f.at) < searchPause {
-			break
-		}
 		least := p.leastProgress(l, now, needsMemory)
 		if least == nil {
-			p.fruitless = search{address: l.address, needsMemory: needsMemory, at: now}
 			break
 		}
 		least.close()
@@ -334,21 +353,56 @@
 	return shed
 }
 
-// leastProgress returns the lease with the least progress of those that may be closed in favour of l; nil if there is none.
+// leastProgress returns the lease with the least progress of those that may be closed in favour of l; nil if there is none. It
+// searches anew only if the last search was for others or long ago, or if nothing is left of what it found.
 func (p *Pool) leastProgress(l *Lease, now time.Time, needsMemory bool) *Lease {
-	var least *Lease
-	hasMost := p.hasMost(l.address)
-	for other := range p.leases {
-		if other == l || needsMemory && !other.mayFreeMemory() || !p.mayShed(l.address, hasMost, other, now) {
-			continue
+	by := searcher{address: l.address, needsMemory: needsMemory, hasMost: p.hasMost(l.address)}
+	if p.last.by == by && now.Sub(p.last.at) < searchPause {
+		if p.last.isFruitless {
+			return nil
 		}
-		if least == nil || compareProgress(other, least, now) < 0 {
-			least = other
+		if least := p.nextFound(l, now); least != nil {
+			return least
 		}
 	}
+	p.search(by, now)
+	least := p.nextFound(l, now)
+	p.last.isFruitless = least == nil
 	return least
 }
 
+// search looks at all connections for those that may be shed, and notes the first foundAtOnce of them in order.
+func (p *Pool) search(by searcher, now time.Time) {
+	found := p.last.found[:0]
+	for other := range p.leases {
+		if p.mayServe(by, other, now) {
+			found = append(found, candidate{lease: other, startedAt: other.startedAt, received: other.received})
+		}
+	}
+	slices.SortFunc(found, func(a, b candidate) int { return compareProgress(a.lease, b.lease, now) })
+	kept := min(len(found), foundAtOnce)
+	clear(found[kept:])
+	p.last = search{by: by, at: now, found: found[:kept]}
+}
+
+// nextFound returns the next lease of the last search that still may be closed and has made no progress since; nil if there is none.
+func (p *Pool) nextFound(l *Lease, now time.Time) *Lease {
+	for i, c := range p.last.found {
+		hasProgress := c.startedAt != c.lease.startedAt || c.received != c.lease.received
+		if c.lease != l && !c.lease.isClosed && !hasProgress && p.mayServe(p.last.by, c.lease, now) {
+			p.last.found = p.last.found[i+1:]
+			return c.lease
+		}
+	}
+	p.last.found = p.last.found[:0]
+	return nil
+}
+
+// mayServe reports whether closing a lease may give a searcher what it needs.
+func (p *Pool) mayServe(by searcher, other *Lease, now time.Time) bool {
+	return (!by.needsMemory || other.mayFreeMemory()) && p.mayShed(by.address, by.hasMost, other, now)
+}
+
 // mayShed reports whether a lease may be closed in favour of an address. An address with more than its part takes from itself
 // only; others also take from it what is not stalled.
 func (p *Pool) mayShed(address netip.Addr, hasMost bool, other *Lease, now time.Time) bool {
