--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -12,7 +13,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"lentilrock.example/internal/web/budgeter"
+	"lentilrock.example/internal/web/limiter"
 )
 
 type echoMessage struct {
@@ -135,3 +142,51 @@
 	require.Eventually(t, func() bool { return call(time.Minute) == nil }, time.Minute, time.Millisecond)
 	require.NotSame(t, first, client.peers[address], "the next call uses a new connection")
 }
+
+// TestFramesOfPeersCount guards against frames that are bounded each and not in sum: calls that wait hold the memory of their
+// listener, and release it with their replies.
+func TestFramesOfPeersCount(t *testing.T) {
+	const peers, frameBytes = 10, 100 << 10
+	wait := make(chan struct{})
+	m := New(Options{Self: Hello{DataCentre: "a"}})
+	Handle(m, "wait", func(_ context.Context, _ Hello, q echoMessage) (int, error) {
+		<-wait
+		return len(q.Text), nil
+	})
+	defer m.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	limits := budgeter.PoolLimits{Connections: 2 * peers, Memory: 1 << 20}
+	l := limiter.New(listener, limits, limiter.Options{Name: "peers", Clock: clockwork.NewRealClock(), Logger: zap.NewNop(), Scope: tally.NoopScope})
+	server := l.Server(m)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	call := func() error {
+		client := New(Options{Self: Hello{DataCentre: "b"}})
+		defer client.Close()
+		size, err := Call[echoMessage, int](ctx, client, address, "wait", echoMessage{strings.Repeat("x", frameBytes)})
+		if err == nil && size != frameBytes {
+			return errors.Errorf("size is %d", size)
+		}
+		return err
+	}
+	results := make(chan error, peers)
+	for range peers {
+		go func() { results <- call() }()
+	}
+	// Those that find no memory fail while the others wait.
+	require.Error(t, <-results)
+	require.NoError(t, ctx.Err(), "all calls wait")
+	close(wait)
+	served := 0
+	for range peers - 1 {
+		if err := <-results; err == nil {
+			served++
+		}
+	}
+	require.Positive(t, served)
+	require.Eventually(t, func() bool { return call() == nil }, 10*time.Second, time.Millisecond)
+}
--- a/internal/web/budgeter/budgeter_test.go
+++ b/internal/web/budgeter/budgeter_test.go
@@ -47,6 +47,24 @@
 	require.ErrorIs(t, err, budgeter.ErrBusy)
 }
 
+// TestProgressSinceTheSearch guards against a connection that is shed although it has made progress since it was found to be stalled.
+func TestProgressSinceTheSearch(t *testing.T) {
+	p := newPool(1 << 20)
+	var leases [4]*budgeter.Lease
+	for i := range leases {
+		leases[i], _, _ = p.Open(first, startTime)
+		leases[i].Receive(i, startTime)
+	}
+	now := startTime.Add(budgeter.MinStall)
+	_, shed, err := p.Open(first, now)
+	require.NoError(t, err)
+	require.Equal(t, leases[:1], shed)
+	leases[1].Receive(100_000, now)
+	_, shed, err = p.Open(first, now)
+	require.NoError(t, err)
+	require.Equal(t, leases[2:3], shed)
+}
+
 // TestAddressHoldsAPart guards against one address that keeps others from a full pool, or takes what they hold; alone it may
 // have all.
 func TestAddressHoldsAPart(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -3,8 +3,8 @@
 # it. They must fail; tests that still pass do not guard the rule.
 #
 # The name of a mutant begins with what it belongs to: a number from 1 to 8 is that of a guarantee in
-# docs/PROOFS.md, "fence" is the scheduler with fencing tokens (internal/fleet), and "sharing" is
-# speculative copies and pacing.
+# docs/PROOFS.md, "fence" is the scheduler with fencing tokens (internal/fleet), "sharing" is
+# speculative copies and pacing, and "clients" is what clients may hold of a process.
 #
 # NOT APPLIED (the text to replace was not found) and NOT BUILT (the mutant does not compile) count as
 # failures: they are included in the number of survivors.
@@ -296,5 +296,17 @@
   'if r != nil && w.MayDiscardResults(s.Now) {' 'if false {' $dispatcher 'TestLatePollDiscardsNoResultOfUnknownIncarnation'
 mutant "fence: a busy machine may still be taken down" internal/fleet/evacuator/evacuator.go \
   'if now.Before(w.orders[order.Machine].lateUntil) {' 'if false {' $dispatcher 'TestLateUpkeepOfBusyMachine'
+mutant "clients: the queue of a listener counts in its share" internal/web/budgeter/limits.go \
+  'Memory: share - queued' 'Memory: share' internal/web/budgeter 'TestPlanFitsTheShare'
+mutant "clients: what peers need is taken from the others" internal/web/budgeter/limits.go \
+  'memory -= missing * memoryParts / (memoryParts - part.memory)' '' internal/web/budgeter 'TestPlanFitsTheShare'
+mutant "clients: a receive buffer counts until the connection closes" internal/web/budgeter/budgeter.go \
+  '-l.pool.limits.connectionBytes()-l.retained)' '-l.pool.limits.connectionBytes())' internal/web/budgeter 'TestRetainedMemoryClosesNobody'
+mutant "clients: a connection with progress is not shed by an old search" internal/web/budgeter/budgeter.go \
+  '&& !hasProgress &&' '&& (hasProgress || !hasProgress) &&' internal/web/budgeter 'TestProgressSinceTheSearch'
+mutant "clients: a header without memory is refused as not run" internal/web/limiter/connection.go \
+  'return 0, c.refuseHeader(busy)' 'return 0, busy' platform/handler 'TestBodiesAreBounded'
+mutant "clients: frames of a peer count in its listener" internal/peer/messenger/messenger.go \
+  'c.memory = limiter.MemoryOf(r.Context())' '_ = limiter.MemoryOf' internal/peer/messenger 'TestFramesOfPeersCount'
 echo "mutants: $survived survived"
 [ "$survived" = 0 ]
