--- a/internal/settings/checker/checker_test.go
+++ b/internal/settings/checker/checker_test.go
@@ -39,6 +39,11 @@
 				`test.ini:9: claims.window: "5" is out of range`, `test.ini:10: claims.cap: "1ms" is out of range`,
 				"test.ini:12: leases.lease: 2s is too short", `test.ini:14: logging.level: "loud" is unknown`,
 			}},
+		{"limits for clients are checked", "[platform]", "[limits]\nmemory_mb = much\nmax_fds = 10\nreceive_buffer_bytes = 0\nbody_timeout = 1ms\n[platform]",
+			[]string{
+				`test.ini:9: limits.memory_mb: "much" is out of range`, `test.ini:10: limits.max_fds: "10" is out of range`,
+				`test.ini:11: limits.receive_buffer_bytes: "0" is out of range`, `test.ini:12: limits.body_timeout: "1ms" is out of range`,
+			}},
 		{"content that is not INI is one fault", validSettings, "[host\n", []string{"want lines of [section] and key = value"}},
 	}
 	for _, test := range tests {
