reconciler: Confine the task of a start to a worker that has been silent since

Its lease ran out after 3.9 s, and its tasks started elsewhere. After 4.5 s it was back under its id and carried out one of the starts before the first poll: the task ran twice.

Cause: the end of the lease was taken for evidence that the start is lost. It ends what runs in the life that the start was meant for; the next life has seen no token and no stop, and the start's deadline lies ahead of its clock.

Change: the end of the lease no longer ends the wait. The task starts on no other worker until 12 s after the sending, as for a worker that has replied since. Starts that may do harm are not forgotten any more beyond a bound: the holder keeps all of them, a worker is known while one is in flight, and the record for successors says for how long others than the 1,024 listed ones may be carried out, in which time tasks of begun jobs wait.

--- a/internal/fleet/describer/describer.go
+++ b/internal/fleet/describer/describer.go
@@ -148,6 +148,10 @@
 // NeedsAdvice reports whether starts of tasks of the queue need a ticket.
 func (q Queue) NeedsAdvice() bool { return q.Advice.Valid > 0 }
 
+// HasHarmfulStarts reports whether a start of the step in a queue does harm if it is carried out late, in a later incarnation of
+// its worker. Copies of a task may run at the same time, and a ticket is refused by a later incarnation.
+func (s Step) HasHarmfulStarts(q Queue) bool { return !s.Speculative && !q.NeedsAdvice() }
+
 // Job is a job as its caller submitted it.
 type Job struct {
 	ID    JobID  `cbor:"1,keyasint"`
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -399,6 +399,8 @@
 	Waves map[int64]WaveProgress
 	// LateStarts are the starts without a reply that may have been carried out after the newest record of them.
 	LateStarts []LateStart
+	// OmittedLateStarts is for how long after that record another one may have been carried out that it omits.
+	OmittedLateStarts time.Duration
 	// offsets has the offsets of the newest records of the roster, the late starts, the hosts and the drains, by key.
 	offsets map[string]int64
 	// rosters are the parts of the newest roster; only the first one is used if it has no others.
--- a/internal/fleet/journaler/late.go
+++ b/internal/fleet/journaler/late.go
@@ -36,11 +36,17 @@
 type LateStarts struct {
 	Epoch  int64       `cbor:"1,keyasint"`
 	Starts []LateStart `cbor:"2,keyasint"`
+	// Omitted is for how long after the record was written a start may be carried out that it does not list; 0 if it lists all.
+	Omitted time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
-// NewLateStarts returns the record of late starts. Of very many it lists those that may be carried out last.
+// NewLateStarts returns the record of late starts, which are in ascending order of their remaining time. Of very many it lists
+// those that may be carried out last.
 func NewLateStarts(l LateStarts) (Record, error) {
-	l.Starts = l.Starts[max(len(l.Starts)-maxLateStarts, 0):]
+	if omitted := len(l.Starts) - maxLateStarts; omitted > 0 {
+		l.Omitted = max(l.Omitted, l.Starts[omitted-1].Remaining)
+		l.Starts = l.Starts[omitted:]
+	}
 	return record(lateStartsKey, l)
 }
 
@@ -51,7 +57,7 @@
 	}
 	s.recordHolderOffset(late.Epoch, offset)
 	if offset >= s.offsets[r.Key] {
-		s.LateStarts, s.offsets[r.Key] = late.Starts, offset
+		s.LateStarts, s.OmittedLateStarts, s.offsets[r.Key] = late.Starts, late.Omitted, offset
 	}
 	return nil
 }
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -13,7 +13,6 @@
 package monitor
 
 import (
-	"slices"
 	"time"
 
 	"lentilrock.example/internal/fleet/acknowledger"
@@ -265,42 +264,6 @@
 // StartSent records that a start is in flight.
 func (w *Worker) StartSent() { w.startsInFlight++ }
 
-// LostStart is a start without a reply.
-type LostStart struct {
-	Ref    describer.TaskRef
-	Number int64
-	Charge describer.Resources
-	Owner  describer.Owner
-	SentAt time.Time
-	// IsHarmful reports that a later incarnation of the worker would accept the start, and that the task may not run twice.
-	IsHarmful bool
-}
-
-// Until returns until when the start may be carried out.
-func (l LostStart) Until() time.Time { return l.SentAt.Add(MaxLateness) }
-
-// RecordLostStart records that the start of a run got no reply. Of very many the oldest are forgotten.
-func (w *Worker) RecordLostStart(start LostStart) {
-	w.lostStarts = append(w.lostStarts, start)
-	w.lostStarts = w.lostStarts[max(len(w.lostStarts)-maxRuns, 0):]
-}
-
-// StartArrived drops a start that the worker has carried out or refused: it is carried out once.
-func (w *Worker) StartArrived(ref describer.TaskRef, number int64) {
-	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return s.Ref == ref && s.Number == number })
-}
-
-// HasHarmfulStart reports whether a harmful start without a reply may still be carried out.
-func (w *Worker) HasHarmfulStart(now time.Time) bool {
-	return slices.ContainsFunc(w.LostStarts(now), func(s LostStart) bool { return s.IsHarmful })
-}
-
-// LostStarts returns the starts without a reply that may still be carried out.
-func (w *Worker) LostStarts(now time.Time) []LostStart {
-	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return now.Sub(s.SentAt) >= MaxLateness })
-	return w.lostStarts
-}
-
 // StartEnded records the verdict on a start.
 func (w *Worker) StartEnded() { w.startsInFlight = max(w.startsInFlight-1, 0) }
 
@@ -327,7 +290,7 @@
 // starts, calls with a deadline, and polls that acknowledge results.
 func (w *Worker) MayGetLateCalls(now time.Time) bool {
 	isOutstanding := func(sentAt time.Time) bool { return !sentAt.IsZero() && now.Sub(sentAt) < MaxLateness }
-	isAwaited := isOutstanding(w.lostAcknowledgementAt) || isOutstanding(w.lostDeadlineAt)
+	isAwaited := isOutstanding(w.lostAcknowledgementAt) || isOutstanding(w.lostDeadlineAt) || w.startsInFlight > 0
 	return isAwaited || now.Before(w.mayDiscardUntil) || now.Before(w.lateDeadlineUntil) || len(w.LostStarts(now)) > 0
 }
 
--- a/internal/fleet/persister/late.go
+++ b/internal/fleet/persister/late.go
@@ -14,7 +14,7 @@
 // takeLateStarts returns the record of the harmful starts that may still be carried out, those last that may be so for
 // longest. It clears the stale flag.
 func (s *Persister) takeLateStarts(epoch int64, now time.Time, workers []*monitor.Worker) (journaler.Record, error) {
-	late := journaler.LateStarts{Epoch: epoch}
+	late := journaler.LateStarts{Epoch: epoch, Omitted: max(s.lateStartsOmittedUntil.Sub(now), 0)}
 	for _, w := range workers {
 		for _, start := range w.LostStarts(now) {
 			if !start.IsHarmful {
--- a/internal/fleet/persister/persister.go
+++ b/internal/fleet/persister/persister.go
@@ -42,6 +42,8 @@
 	// areLateStartsStale reports that the starts that may still be carried out are to be persisted, and hasLateStarts that
 	// the newest record lists some.
 	areLateStartsStale, hasLateStarts bool
+	// lateStartsOmittedUntil is until when a start of a former holder may be carried out that its record omits.
+	lateStartsOmittedUntil time.Time
 	// forgotten are the jobs whose progress records are to be removed.
 	forgotten []describer.JobID
 	// waves are the waves whose progress is to be persisted.
@@ -62,8 +64,15 @@
 // MarkLateStartsChanged records that the starts that may still be carried out must be persisted.
 func (s *Persister) MarkLateStartsChanged() { s.areLateStartsStale = true }
 
-// RestoreLateStarts records that the newest record lists starts.
-func (s *Persister) RestoreLateStarts() { s.hasLateStarts = true }
+// RestoreLateStarts records that the newest record lists starts, and until when others may be carried out that it omits.
+func (s *Persister) RestoreLateStarts(omittedUntil time.Time) {
+	s.hasLateStarts, s.lateStartsOmittedUntil = true, omittedUntil
+}
+
+// MayHaveOmittedStart reports whether a start of a former holder may be carried out that its record omits.
+func (s *Persister) MayHaveOmittedStart(now time.Time) bool {
+	return now.Before(s.lateStartsOmittedUntil)
+}
 
 // HasLateStarts reports whether the newest record lists starts that may still be carried out.
 func (s *Persister) HasLateStarts() bool { return s.hasLateStarts }
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -79,7 +79,7 @@
 // Place starts the waiting tasks for which there is capacity, in the order of the ranks of their
 // steps.
 func (p *Placer) Place() {
-	hasUnknownRuns, hasUnlistedRuns := p.mayHaveUnknownRuns()
+	hasUnknownRuns, hasUnlistedRuns := p.MayHaveUnknownRuns()
 	p.round = p.newRound()
 	p.Estimator.Observe(p.Now)
 	for _, w := range p.Ordered {
@@ -87,8 +87,10 @@
 	}
 	p.preempter.Begin(p.Now)
 	p.delayer.Begin(p.Now)
+	hasOmittedStarts := p.Persister.MayHaveOmittedStart(p.Now)
 	mayHaveUnknown := func(s *tasker.Step) bool {
-		return hasUnknownRuns && s.Job.MayHaveUnknownRuns || hasUnlistedRuns && s.Job.MayHaveUnlistedRuns
+		mayStartLate := hasOmittedStarts && s.Job.MayHaveUnknownRuns && s.Spec.HasHarmfulStarts(s.Job.Queue)
+		return mayStartLate || hasUnknownRuns && s.Job.MayHaveUnknownRuns || hasUnlistedRuns && s.Job.MayHaveUnlistedRuns
 	}
 	steps, held := p.bookkeeper.WithinLimits(tasker.ReadyStepsIn(p.Jobs, p.round.flows, p.Now), p.round.limits, maxStartsPerJob, func(s *tasker.Step) bool {
 		return !mayHaveUnknown(s) && p.hasDurableProgress(s.Job)
@@ -122,18 +124,6 @@
 	})
 }
 
-// mayHaveUnknownRuns reports whether a task that a former holder started could be on a worker that
-// has not replied yet, and whether that could be one that the persisted progress leaves out for its size. Both
-// are true while no worker is known.
-func (p *Placer) mayHaveUnknownRuns() (isUnknown, isUnlisted bool) {
-	isUnknown, isUnlisted = len(p.Ordered) == 0, len(p.Ordered) == 0
-	for _, w := range p.Ordered {
-		isUnknown = isUnknown || w.MayHaveUnknownRuns(p.Claim.ConfirmedAt())
-		isUnlisted = isUnlisted || w.MayHaveUnlistedRuns(p.Claim.ConfirmedAt())
-	}
-	return isUnknown, isUnlisted
-}
-
 // candidates returns the workers on which a task of a step may be placed at all: all of them, or
 // those with a ticket if the queue needs advice.
 func (p *Placer) candidates(s *tasker.Step) []*monitor.Worker {
--- a/internal/fleet/reconciler/confine.go
+++ b/internal/fleet/reconciler/confine.go
@@ -11,19 +11,20 @@
 	"lentilrock.example/internal/fleet/tasker"
 )
 
-// confine keeps the task of a resolved run on the run's worker for as long as the worker may still carry out the start. A
-// worker that has not replied since the start was sent is left out: it was lost with the start, whose deadline has passed there.
+// confine keeps the task of a resolved run on the run's worker for as long as the worker may still carry out the start. The
+// end of the worker's lease changes nothing: it ends what runs there, but the next incarnation would accept the start.
 func (s *Reconciler) confine(r *tasker.Run) {
 	w, found := s.Workers[r.Worker]
 	t, until := r.Task, r.SentAt.Add(monitor.MaxLateness)
-	mayArrive := found && r.ConfirmedAt.IsZero() && w.RepliedAt.After(r.SentAt) && s.Now.Before(until)
+	mayArrive := found && r.ConfirmedAt.IsZero() && s.Now.Before(until)
 	if !mayArrive || t == nil || t.Done || !s.isHarmful(r.Ref) {
 		return
 	}
 	s.Confine(t, confiner.Start{Worker: w.Info.ID, Number: r.Number, Until: until})
 	s.Options.Count("tasks_confined")
 	s.Report("A task starts on no other worker for a while, since this one may still carry out a start without a reply.", "task", r.Ref.String(),
-		"run", r.Number, "worker", w.Info.ID, "incarnation", w.Incarnation, "until", until, "is_listed", w.IsListed, "is_draining", w.Info.Draining)
+		"run", r.Number, "worker", w.Info.ID, "incarnation", w.Incarnation, "until", until, "is_listed", w.IsListed, "is_draining", w.Info.Draining,
+		"has_replied_since", w.RepliedAt.After(r.SentAt))
 }
 
 // Confine confines a task to the worker of a start. The task must be kept.
@@ -51,8 +52,7 @@
 	}
 }
 
-// isHarmful reports whether a late start of a task would do harm in a later incarnation of its worker. Copies of a task may run
-// at the same time, and the starts of a queue with advice carry a ticket, which a later incarnation refuses.
+// isHarmful reports whether a late start of a task would do harm in a later incarnation of its worker.
 func (s *Reconciler) isHarmful(ref describer.TaskRef) bool {
 	entry, found := s.State.Find(ref.Job)
 	if !found || ref.Step < 0 || ref.Step >= len(entry.Job.Steps) {
@@ -62,7 +62,7 @@
 	if j, isOpen := s.Jobs[ref.Job]; isOpen {
 		queue = j.Queue
 	}
-	return !entry.Job.Steps[ref.Step].Speculative && !queue.NeedsAdvice()
+	return entry.Job.Steps[ref.Step].HasHarmfulStarts(queue)
 }
 
 // RestoreLateStart records a start of a former holder that its worker may still carry out, for a time after the former
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -214,6 +214,18 @@
 	}
 }
 
+// MayHaveUnknownRuns reports whether a task that a former holder started could be on a worker that
+// has not replied yet, and whether that could be one that the persisted progress leaves out for its size. Both
+// are true while no worker is known.
+func (r *Registrar) MayHaveUnknownRuns() (isUnknown, isUnlisted bool) {
+	isUnknown, isUnlisted = len(r.Ordered) == 0, len(r.Ordered) == 0
+	for _, w := range r.Ordered {
+		isUnknown = isUnknown || w.MayHaveUnknownRuns(r.Claim.ConfirmedAt())
+		isUnlisted = isUnlisted || w.MayHaveUnlistedRuns(r.Claim.ConfirmedAt())
+	}
+	return isUnknown, isUnlisted
+}
+
 // Report writes a log line.
 func (r *Registrar) Report(message string, fields ...any) { r.Options.Report(message, fields...) }
 
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -95,7 +95,11 @@
 		wt.adoptRuns(entry)
 	}
 	if len(wt.State.LateStarts) > 0 {
-		wt.Persister.RestoreLateStarts()
+		wt.Persister.RestoreLateStarts(wt.FormerSeenAt.Add(min(wt.State.OmittedLateStarts, monitor.MaxLateness)))
+	}
+	if wt.Persister.MayHaveOmittedStart(wt.Now) {
+		wt.Report("The record of starts that may still be carried out is not complete. Tasks of begun jobs wait.", "listed", len(wt.State.LateStarts),
+			"until", wt.FormerSeenAt.Add(min(wt.State.OmittedLateStarts, monitor.MaxLateness)))
 	}
 	for _, late := range wt.State.LateStarts {
 		wt.reconciler.RestoreLateStart(late)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -286,6 +286,9 @@
   'case e.Progress.Outcome == OutcomeCancelled:' 'case e.Cancelled:' $dispatcher 'TestJobs/a_cancellation'
 mutant "fence: a task stays with the worker of its lost start" internal/fleet/reconciler/confine.go \
   'mayArrive := found &&' 'mayArrive := !found &&' $dispatcher 'TestTaskWithLostStart|TestGangWithLostStart'
+mutant "fence: the end of a silent worker's lease does not end the wait for its lost start" internal/fleet/reconciler/confine.go \
+  'r.ConfirmedAt.IsZero() && s.Now.Before(until)' 'r.ConfirmedAt.IsZero() && s.Now.Before(until) && w.RepliedAt.After(r.SentAt)' \
+  $dispatcher 'TestTaskOfSilentWorkerRunsNowhereElse'
 mutant "fence: a successor learns of lost starts" internal/fleet/watcher/watcher.go \
   'wt.reconciler.RestoreLateStart(late)' '_ = late' $dispatcher 'TestSuccessorConfinesTaskWithLostStart'
 mutant "fence: an end that a late start may repeat is not acknowledged" internal/fleet/watcher/poll.go \
