processor, reporter: Show what a confined task waits for

Operators saw in the log that a task was confined, but `show why` and the line of a job of which nothing runs did not tell that it waits for a worker which may still carry out an earlier start.

--- a/internal/fleet/confiner/confiner.go
+++ b/internal/fleet/confiner/confiner.go
@@ -63,7 +63,19 @@
 
 // IsPending reports whether a start may still be carried out, so that the task may start on one worker at most.
 func (c *Confiner) IsPending(now time.Time) bool {
-	return slices.ContainsFunc(c.starts, func(s Start) bool { return now.Before(s.Until) })
+	_, isPending := c.Last(now)
+	return isPending
+}
+
+// Last returns the start that may still be carried out for longest, or false if there is none.
+func (c *Confiner) Last(now time.Time) (Start, bool) {
+	var last Start
+	for _, s := range c.starts {
+		if now.Before(s.Until) && s.Until.After(last.Until) {
+			last = s
+		}
+	}
+	return last, last.Worker != ""
 }
 
 // Waited returns for how long the task has not started since a start was added; 0 if it has started.
--- a/internal/fleet/reporter/reporter.go
+++ b/internal/fleet/reporter/reporter.go
@@ -21,6 +21,7 @@
 	"lentilrock.example/internal/fleet/requester"
 	"lentilrock.example/internal/fleet/selector"
 	"lentilrock.example/internal/fleet/sharer"
+	"lentilrock.example/internal/fleet/summarizer"
 	"lentilrock.example/internal/fleet/tasker"
 )
 
@@ -127,6 +128,9 @@
 		}
 	}
 	fields := []any{"accepting_workers", accepting, "with_room", fitting}
+	if count, last := summarizer.Confined(s, r.Now); count > 0 {
+		fields = append(fields, "confined_tasks", count, "confined_to", last.Worker, "confined_until", last.Until)
+	}
 	if !s.Job.Queue.NeedsAdvice() {
 		return fields
 	}
--- a/internal/fleet/summarizer/summarizer.go
+++ b/internal/fleet/summarizer/summarizer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/fleet/confiner"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/limiter"
 	"lentilrock.example/internal/fleet/registrar"
@@ -215,3 +216,18 @@
 	}
 	return h
 }
+
+// Confined returns how many of the tasks of a step that may be started wait for workers that may still carry out earlier starts
+// of them, and which of these starts may be carried out for longest.
+func Confined(step *tasker.Step, now time.Time) (count int, last confiner.Start) {
+	for _, t := range step.KeptTasks() {
+		start, isPending := t.Confiner.Last(now)
+		if !isPending || !t.IsWaiting(now) {
+			continue
+		}
+		if count++; start.Until.After(last.Until) {
+			last = start
+		}
+	}
+	return count, last
+}
--- a/internal/query/processor/workspaces.go
+++ b/internal/query/processor/workspaces.go
@@ -90,6 +90,9 @@
 		if j.Queue.NeedsAdvice() {
 			value += fmt.Sprintf(" ticketed_workers=%d advice_requested=%s", len(s.Advice.TicketedWorkers()), age(k, s.Advice.QueriedAt()))
 		}
+		if count, last := summarizer.Confined(s, k.Now); count > 0 {
+			value += fmt.Sprintf(" confined=%d confined_to=%s confined_for=%s", count, last.Worker, last.Until.Sub(k.Now).Round(time.Millisecond))
+		}
 		table.Add("waits "+s.Ref().String(), value)
 	}
 }
