reconciler: Start long-running tasks on workers that have just replied

What callers see: a task whose start is lost with its worker starts elsewhere after 12 s, since the start may be carried out late.

Change: where a start would do harm late (no ticket, no copies), a long-running task starts on a worker only if that has replied within 0.25 s. If not, the worker is polled first, which costs one round trip, or 0.5 s if it is gone. Before, a reply of the last 1.5 s was enough.

TestLongRunningTaskStartsOnWorkerThatHasJustReplied was red before.

Tried, not kept: a penalty for workers with starts in flight.

--- a/internal/fleet/dispatcher/late_test.go
+++ b/internal/fleet/dispatcher/late_test.go
@@ -230,6 +230,30 @@
 	}
 }
 
+// TestLongRunningTaskStartsOnWorkerThatHasJustReplied guards against a long-running task that waits for a late start, which was
+// sent to a worker that had been lost between two polls.
+func TestLongRunningTaskStartsOnWorkerThatHasJustReplied(t *testing.T) {
+	gang := longRunning(2)
+	gang.Gang = true
+	for name, step := range map[string]describer.Step{"tasks": longRunning(2), "gang": gang} {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t, 2)
+			c.run(4 * tickInterval)
+			c.fleet.Update("w-0", func(w *fencer.Worker) { w.IsUnresponsive = true })
+			c.clock.Advance(400 * time.Millisecond)
+			c.submit("a", describer.Queue{}, step)
+			c.save()
+			c.decide()
+			require.Empty(t, c.starts, "no worker has replied for longer than starts may rely on")
+			c.run(4 * tickInterval)
+			require.Len(t, c.starts, 2)
+			for _, start := range c.starts {
+				require.Equal(t, "w-1", start.Worker.ID)
+			}
+		})
+	}
+}
+
 // TestOmittedLateStartHoldsTasks guards against a task that runs twice, as so many starts of the former holder may still be
 // carried out that the record does not list all of them.
 func TestOmittedLateStartHoldsTasks(t *testing.T) {
--- a/internal/fleet/monitor/monitor.go
+++ b/internal/fleet/monitor/monitor.go
@@ -114,8 +114,8 @@
 	longestLeaseUntil time.Time
 	// IncarnationAt is when the first reply of the incarnation arrived.
 	IncarnationAt time.Time
-	// RepliedAt is when the last reply arrived.
-	RepliedAt time.Time
+	// RepliedAt is when the last reply arrived, and ProbedAt when a poll was ordered to see whether the worker still replies.
+	RepliedAt, ProbedAt time.Time
 	// notice is what the replies to starts have shown of a restart.
 	notice restartNotice
 	// pollsInFlight counts the polls without a reply so far, and stalePolls those of them that were
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -186,6 +186,9 @@
 			}
 			break
 		}
+		if p.reconciler.AwaitsReply(s, w) {
+			break
+		}
 		p.start(t, w, ticket, t.NextRun(p.Options.Epoch))
 	}
 	if delayed > 0 {
@@ -225,6 +228,13 @@
 		planned = append(planned, placement{t, w, ticket})
 		number = max(number, t.NextRun(p.Options.Epoch))
 	}
+	isAwaited := false
+	for _, chosen := range planned {
+		isAwaited = p.reconciler.AwaitsReply(s, chosen.worker) || isAwaited
+	}
+	if isAwaited {
+		return
+	}
 	for _, chosen := range planned {
 		p.start(chosen.task, chosen.worker, chosen.ticket, number)
 	}
