reconciler: Start long-running tasks again whose runs end as done

With all tasks of the job ended so, the job was shown as completed, though nobody had cancelled it.

Cause: countResult marked the task as done whatever the kind of its step, and the mark is stored. The path of `failed` beside it looked at the kind.

Change: no end makes a long-running task done. The tally takes no such mark, neither from an end nor from progress that the version before stored, in lists or encodings. The task, or its gang, starts again; the step stays open, so that steps with `after` on it wait, and the job runs until it is cancelled. After a run of under 5 s it starts after a pause of 0.1 s that doubles to 3 s, so that one that ends at once takes few starts. Such an end is no attempt, no fault of the worker and no success. A job that was stored as completed stays so.

PROTOCOL.md decides: long-running tasks "run until the job is cancelled, and must be restarted however they end".

A check changed: the fencer no longer tells the auditor of an end of a long-running task as done, since the sentence above allows a start after it. Starts beside another run are checked as before.

The constants of a run's speed move from tasker to pacer, which had one of them already.

--- a/internal/fleet/evacuator/moves.go
+++ b/internal/fleet/evacuator/moves.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lentilrock.example/internal/fleet/monitor"
+	"lentilrock.example/internal/fleet/pacer"
 	"lentilrock.example/internal/fleet/selector"
 	"lentilrock.example/internal/fleet/tasker"
 )
@@ -51,7 +52,7 @@
 
 // endsBefore reports whether a run ends before a time if it goes on as fast as it has.
 func endsBefore(r *tasker.Run, end, now time.Time) bool {
-	return r.Done > 0 && now.Sub(r.SentAt)*time.Duration(tasker.FullPercent-r.Done)/time.Duration(r.Done) < end.Sub(now)
+	return r.Done > 0 && now.Sub(r.SentAt)*time.Duration(pacer.FullPercent-r.Done)/time.Duration(r.Done) < end.Sub(now)
 }
 
 // unavailableTasks returns the number of tasks of a long-running step that are unavailable. A task
@@ -60,7 +61,7 @@
 func (e *Evacuator) unavailableTasks(s *tasker.Step, worker string) int {
 	count := s.Spec.Count
 	for _, t := range s.KeptTasks() {
-		isUp := t.Run != nil && t.Run.Done >= tasker.FullPercent && !t.Run.Stopping && !e.isGoingDown(t.Run.Worker)
+		isUp := t.Run != nil && t.Run.Done >= pacer.FullPercent && !t.Run.Stopping && !e.isGoingDown(t.Run.Worker)
 		isOnWorker := t.Run != nil && t.Run.Worker == worker
 		if isOnWorker || isUp {
 			count--
--- a/internal/fleet/historian/historian.go
+++ b/internal/fleet/historian/historian.go
@@ -1,4 +1,5 @@
-// Package historian remembers what outlives the runs of a task, or of a gang: the newest checkpoint and the runs that failed.
+// Package historian remembers what outlives the runs of a task, or of a gang: the newest checkpoint, the runs that failed, and
+// how soon those ended after which a long-running task starts again.
 //
 // # Usage
 //
@@ -9,12 +10,41 @@
 //	}
 package historian
 
-import "lentilrock.example/internal/container/sorter"
+import (
+	"time"
+
+	"lentilrock.example/internal/container/sorter"
+)
+
+const (
+	// steadyTime is how long a run lasts at least after which the next one starts at once.
+	steadyTime = 5 * time.Second
+	// minPause and maxPause bound the pause after a shorter run. A long-running task must not be down for much longer.
+	minPause = 100 * time.Millisecond
+	maxPause = 3 * time.Second
+)
 
 // History is what is known of former runs. The zero value has none.
 type History struct {
 	checkpoint string
 	failures   map[int64]bool
+	// ended is the number of the last run after which the task starts again, and pause the pause after it.
+	ended int64
+	pause time.Duration
+}
+
+// PauseAfter returns the pause before the run after one with a number that has ended and lasted for a time. It doubles with each
+// run that ends soon after its start. The members of a gang, whose runs have the same number, count once.
+func (h *History) PauseAfter(number int64, lasted time.Duration) time.Duration {
+	switch {
+	case number == h.ended:
+	case lasted >= steadyTime:
+		h.pause = 0
+	default:
+		h.pause = min(max(2*h.pause, minPause), maxPause)
+	}
+	h.ended = number
+	return h.pause
 }
 
 // SaveCheckpoint records the newest checkpoint, unless it is empty.
--- a/internal/fleet/pacer/pacer.go
+++ b/internal/fleet/pacer/pacer.go
@@ -28,8 +28,10 @@
 	nearDivisor = 2
 	// raiseStep is the increase of the speed at a time, in percentage points.
 	raiseStep = 15
-	// fullPercent is the speed without a limit.
-	fullPercent = 100
+	// FullPercent is the speed without a limit, at which a run begins, in percent.
+	FullPercent = 100
+	// UnknownPercent stands for the speed of a run that a former holder may have throttled.
+	UnknownPercent = -1
 	// settlingTime is the least time between two changes: a reading covers the last half
 	// second, and an order takes effect a tenth of a second after it arrives.
 	settlingTime = 700 * time.Millisecond
@@ -47,7 +49,7 @@
 }
 
 // Percent returns the current speed in percent of full speed, from 0 to 100.
-func (p *Pacer) Percent() int { return fullPercent - p.cut }
+func (p *Pacer) Percent() int { return FullPercent - p.cut }
 
 // Next applies a reading, the largest ratio of tail latency to objective among the serving
 // tasks on the worker, and returns the new speed in percent of full speed, from 0 to 100.
@@ -68,13 +70,13 @@
 	case ratio >= nearRatio:
 		p.set(now, p.Percent()/nearDivisor)
 	case !p.calmSince.IsZero() && now.Sub(p.calmSince) >= raiseDelay:
-		p.set(now, min(p.Percent()+raiseStep, fullPercent))
+		p.set(now, min(p.Percent()+raiseStep, FullPercent))
 	}
 	return p.Percent()
 }
 
 func (p *Pacer) set(now time.Time, percent int) {
 	if percent != p.Percent() {
-		p.cut, p.changedAt = fullPercent-percent, now
+		p.cut, p.changedAt = FullPercent-percent, now
 	}
 }
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -18,6 +18,7 @@
 	"lentilrock.example/internal/fleet/mitigator"
 	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/orderer"
+	"lentilrock.example/internal/fleet/pacer"
 	"lentilrock.example/internal/fleet/preempter"
 	"lentilrock.example/internal/fleet/reconciler"
 	"lentilrock.example/internal/fleet/registrar"
@@ -255,7 +256,7 @@
 	}
 	r := &tasker.Run{
 		Task: t, Ref: t.Ref(), Job: j, Number: number, Worker: w.Info.ID, Charge: t.Step.Spec.Charge(), Owner: j.Spec.Owner(t.Step.Index), SentAt: p.Now,
-		Percent: tasker.FullPercent, IsPartial: t.Checkpoint() != "",
+		Percent: pacer.FullPercent, IsPartial: t.Checkpoint() != "",
 	}
 	t.Run, t.LastRun = r, number
 	w.Add(r)
--- a/internal/fleet/preempter/preempter.go
+++ b/internal/fleet/preempter/preempter.go
@@ -23,6 +23,7 @@
 	"lentilrock.example/internal/container/clamper"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/monitor"
+	"lentilrock.example/internal/fleet/pacer"
 	"lentilrock.example/internal/fleet/selector"
 	"lentilrock.example/internal/fleet/tasker"
 )
@@ -200,7 +201,7 @@
 func remaining(r *tasker.Run, now time.Time) time.Duration {
 	elapsed := now.Sub(r.SentAt)
 	if r.Done > 0 {
-		return clamper.Scale(elapsed, float64(tasker.FullPercent-r.Done)/float64(r.Done))
+		return clamper.Scale(elapsed, float64(pacer.FullPercent-r.Done)/float64(r.Done))
 	}
 	return r.Task.Step.Spec.Estimate - elapsed
 }
--- a/internal/fleet/reconciler/order.go
+++ b/internal/fleet/reconciler/order.go
@@ -5,6 +5,7 @@
 
 	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/orderer"
+	"lentilrock.example/internal/fleet/pacer"
 	"lentilrock.example/internal/fleet/tasker"
 )
 
@@ -121,7 +122,7 @@
 		}
 		r := &tasker.Run{
 			Ref: lost.Ref, Number: lost.Number, Worker: w.Info.ID, Charge: lost.Charge, Owner: lost.Owner, SentAt: lost.SentAt,
-			Percent: tasker.UnknownPercent, Stopping: true,
+			Percent: pacer.UnknownPercent, Stopping: true,
 		}
 		w.Add(r)
 		if j, found := s.Jobs[lost.Ref.Job]; found {
--- a/internal/fleet/reconciler/reconciler.go
+++ b/internal/fleet/reconciler/reconciler.go
@@ -20,6 +20,7 @@
 	"lentilrock.example/internal/fleet/journaler"
 	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/orderer"
+	"lentilrock.example/internal/fleet/pacer"
 	"lentilrock.example/internal/fleet/ranker"
 	"lentilrock.example/internal/fleet/registrar"
 	"lentilrock.example/internal/fleet/tasker"
@@ -85,7 +86,7 @@
 func (s *Reconciler) Adopt(w *monitor.Worker, running orderer.Running) *tasker.Run {
 	r := &tasker.Run{
 		Ref: running.Task, Number: running.Run, Worker: w.Info.ID, SentAt: s.Now, ConfirmedAt: s.Now,
-		Charge: s.chargeOf(w, running.Task), Owner: s.ownerOf(w, running.Task), Percent: tasker.UnknownPercent, IsPartial: true,
+		Charge: s.chargeOf(w, running.Task), Owner: s.ownerOf(w, running.Task), Percent: pacer.UnknownPercent, IsPartial: true,
 	}
 	w.Add(r)
 	s.link(r)
@@ -225,6 +226,10 @@
 func (s *Reconciler) countResult(w *monitor.Worker, t *tasker.Task, result orderer.RunResult) {
 	switch result.Kind {
 	case orderer.EndDone:
+		if t.Step.Spec.LongRunning {
+			s.longRunningEnded(w, t, result.Run)
+			return
+		}
 		w.Breaker.Succeeded()
 		t.Step.Successes.Add(w.Info.ID)
 		s.recordDuration(w, t, result)
@@ -234,6 +239,21 @@
 	}
 }
 
+// longRunningEnded counts the end as done of a run of a long-running task, which starts again like after any other end: only
+// its job's cancellation ends it. The end is no failure of the task or the worker, and no success that would excuse others.
+func (s *Reconciler) longRunningEnded(w *monitor.Worker, t *tasker.Task, number int64) {
+	r, found := w.Runs[monitor.RunKey{Ref: t.Ref(), Number: number}]
+	if !found || t.Step.Job.IsOver() {
+		return
+	}
+	lasted := s.Now.Sub(r.SentAt)
+	pause := t.PauseAfter(number, lasted)
+	t.NotBefore = s.Now.Add(pause)
+	s.Options.Count("long_running_ended")
+	s.Report("A run of a long-running task ended as done. The task starts again.", "task", t.Ref().String(), "run", number, "worker", w.Info.ID,
+		"lasted", lasted, "pause", pause)
+}
+
 // taskDone marks a task, or all tasks of its gang, as done by the run with the given number,
 // and stops the other runs of the task.
 func (s *Reconciler) taskDone(t *tasker.Task, number int64) {
--- a/internal/fleet/tallier/tallier.go
+++ b/internal/fleet/tallier/tallier.go
@@ -12,6 +12,7 @@
 package tallier
 
 import (
+	"sort"
 	"time"
 
 	"lentilrock.example/internal/container/clamper"
@@ -98,10 +99,10 @@
 	return count - t.doneTasks.Count(first, first+count)
 }
 
-// FinishTask records that a task is done. It returns false if it was done before.
+// FinishTask records that a task is done. It returns false if it was done before, or if it is long-running and never is.
 func (t *Tally) FinishTask(step, index int) bool {
 	number := t.firstTask(step) + index
-	if t.doneTasks.Has(number) {
+	if t.doneTasks.Has(number) || t.job.Steps[step%len(t.job.Steps)].LongRunning {
 		return false
 	}
 	t.doneTasks.Add(number)
@@ -201,10 +202,14 @@
 // Encode returns the tasks that are done in the encoding of package marker.
 func (t *Tally) Encode() []byte { return t.doneTasks.Encode(t.TaskCount()) }
 
-// Restore adds the tasks of an encoding to those that are done. No step must be done yet.
+// Restore adds the tasks of an encoding to those that are done, but for the long-running ones, which former versions list if a
+// run of them ended as done. No step must be done yet.
 func (t *Tally) Restore(data []byte) {
+	tasks := t.firstTasks[len(t.job.Steps)]
 	for task := range marker.Decode(data, t.TaskCount()) {
-		t.doneTasks.Add(task)
+		if step := sort.SearchInts(t.firstTasks, task%tasks+1) - 1; !t.job.Steps[step].LongRunning {
+			t.doneTasks.Add(task)
+		}
 	}
 	for step := range t.StepCount() {
 		index := step % len(t.job.Steps)
--- a/internal/fleet/tasker/progress_test.go
+++ b/internal/fleet/tasker/progress_test.go
@@ -142,3 +142,21 @@
 		require.Equal(t, k < 60, s.RemainingTasks == 0)
 	}
 }
+
+// TestProgressOfFormerVersionWithLongRunningTasks guards against long-running tasks that never run again, since a former version
+// stored them as done, in a list or, for a large job, in an encoding.
+func TestProgressOfFormerVersionWithLongRunningTasks(t *testing.T) {
+	for _, count := range []int{3, 4000} {
+		stored := tasker.NewJob(&journaler.Entry{Job: &describer.Job{Steps: []describer.Step{{Count: count}, {Count: count}}}})
+		for i := range 2 {
+			stored.Step(0, i).Task(count - 1).Finish()
+		}
+		progress, _ := persist(t, stored, false)
+		j := tasker.NewJob(&journaler.Entry{Progress: progress, Job: &describer.Job{
+			Steps: []describer.Step{{Count: count}, {Count: count, LongRunning: true}},
+		}})
+		require.Equal(t, count-1, j.Step(0, 0).RemainingTasks)
+		require.Equal(t, count, j.Step(0, 1).RemainingTasks)
+		require.False(t, j.Step(0, 1).Task(count-1).Done)
+	}
+}
--- a/internal/fleet/tasker/task.go
+++ b/internal/fleet/tasker/task.go
@@ -10,13 +10,6 @@
 	"lentilrock.example/internal/fleet/ranker"
 )
 
-const (
-	// FullPercent is the speed at which a run begins, in percent of its full speed.
-	FullPercent = 100
-	// UnknownPercent stands for the speed of a run that a former holder may have throttled.
-	UnknownPercent = -1
-)
-
 // Task is a task of a step.
 type Task struct {
 	Step  *Step
@@ -181,6 +174,11 @@
 // Checkpoint returns the checkpoint from which the next run resumes; empty means from the beginning.
 func (t *Task) Checkpoint() string { return t.record().Checkpoint() }
 
+// PauseAfter returns the pause before the next run of a long-running task; see historian.History.
+func (t *Task) PauseAfter(number int64, lasted time.Duration) time.Duration {
+	return t.record().PauseAfter(number, lasted)
+}
+
 // Fail records that a run failed on a worker and returns the number of failed runs of the task, or
 // of its gang. A run that is recorded again counts once.
 func (t *Task) Fail(number int64, worker string) int {
--- a/internal/fleet/throttler/throttler.go
+++ b/internal/fleet/throttler/throttler.go
@@ -14,6 +14,7 @@
 	"lentilrock.example/internal/container/clamper"
 	"lentilrock.example/internal/fleet/monitor"
 	"lentilrock.example/internal/fleet/orderer"
+	"lentilrock.example/internal/fleet/pacer"
 	"lentilrock.example/internal/fleet/registrar"
 	"lentilrock.example/internal/fleet/selector"
 	"lentilrock.example/internal/fleet/tasker"
@@ -33,7 +34,7 @@
 	if !w.Has(selector.IsFiller) {
 		return
 	}
-	percent := tasker.FullPercent
+	percent := pacer.FullPercent
 	if w.Has(selector.IsServing) {
 		percent = w.Pacer.Next(g.Now, worstTailRatio(w))
 	}
--- a/internal/standin/fencer/fencer.go
+++ b/internal/standin/fencer/fencer.go
@@ -234,7 +234,9 @@
 
 func (f *Fleet) endRun(w *Worker, name string, r *run, kind orderer.EndKind, at time.Time) {
 	delete(w.runs, name)
-	r.audited.End(at, kind == orderer.EndDone)
+	// A long-running task must be restarted however it ends.
+	lasts := f.IsLongRunning != nil && f.IsLongRunning(r.Task)
+	r.audited.End(at, kind == orderer.EndDone && !lasts)
 	w.lastResult++
 	ended := orderer.RunResult{Number: w.lastResult, Task: r.Task, Run: r.Run, Kind: kind, Checkpoint: r.Checkpoint}
 	w.results = append(w.results, result{ended, r.audited})
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -289,6 +289,10 @@
 mutant "fence: the end of a silent worker's lease does not end the wait for its lost start" internal/fleet/reconciler/confine.go \
   'r.ConfirmedAt.IsZero() && s.Now.Before(until)' 'r.ConfirmedAt.IsZero() && s.Now.Before(until) && w.RepliedAt.After(r.SentAt)' \
   $dispatcher 'TestTaskOfSilentWorkerRunsNowhereElse'
+mutant "fence: a long-running task is never done" internal/fleet/tallier/tallier.go \
+  ' || t.job.Steps[step%len(t.job.Steps)].LongRunning' '' internal/fleet/tasker 'TestProgressOfFormerVersionWithLongRunningTasks'
+mutant "fence: a long-running task that ends at once starts again after a pause" internal/fleet/reconciler/reconciler.go \
+  't.NotBefore = s.Now.Add(pause)' '_ = pause' $dispatcher 'TestLongRunningTaskThatEndsAtOnce'
 mutant "fence: a successor learns of lost starts" internal/fleet/watcher/watcher.go \
   'wt.reconciler.RestoreLateStart(late)' '_ = late' $dispatcher 'TestSuccessorConfinesTaskWithLostStart'
 mutant "fence: an end that a late start may repeat is not acknowledged" internal/fleet/watcher/poll.go \
