holder: Record starts in flight for a successor

The successor starts the task elsewhere, the worker restarts under its id and gets the start.

Cause: only a start without a reply was recorded, after its time-out of up to 0.5 s. A holder that ended before, even in order, left no record.

Change: the record of late starts lists those in flight, too. It is appended as they are sent, without a wait, and by a holder that ends in order in the same append as its release. While the newest record lists starts, each batch, or a heartbeat in its place, writes it anew. Starts with a ticket and copies need no record, so that nothing changes on queues with advice.

Open: a holder that is killed before the append is stored.

--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -316,9 +316,13 @@
 func (k *Coordinator) release(ctx context.Context, reason string) {
 	k.mu.Lock()
 	h, claim := k.holder, k.state.Claim
+	var last []journaler.Record
+	if h != nil && k.dispatcher != nil {
+		last = k.dispatcher.TakeLastRecords(k.now())
+	}
 	k.stopHolding(reason)
 	k.mu.Unlock()
 	if h != nil {
-		h.Release(ctx, claim)
+		h.Release(ctx, claim, last)
 	}
 }
--- a/internal/entry/holder/holder.go
+++ b/internal/entry/holder/holder.go
@@ -326,7 +326,8 @@
 	defer close(h.saveStopped)
 	clock := h.options.Clock
 	for ctx.Err() == nil {
-		if h.saveWaker.Pause(ctx, clock, heartbeatInterval) {
+		isWoken := h.saveWaker.Pause(ctx, clock, heartbeatInterval)
+		if isWoken {
 			pauser.Pause(ctx, clock, saveDelay)
 		}
 		var submissions []*submission
@@ -334,7 +335,7 @@
 		batch := int64(0)
 		isHolder := h.update(func(_ time.Time, d *dispatcher.Dispatcher) {
 			submissions, records = h.takeSubmissions(d)
-			if d.HasProgress() {
+			if d.HasProgress() || !isWoken && d.HasOutdatedProgress() {
 				var progress []journaler.Record
 				progress, batch = d.TakeProgress()
 				records = append(records, progress...)
@@ -481,8 +482,8 @@
 
 // Release marks the claim as released after the holder's last append has ended, so that another
 // host takes over at once. The release is fenced by the epoch like other appends, so it never
-// overwrites a later claim.
-func (h *Holder) Release(ctx context.Context, claim journaler.Claim) {
+// overwrites a later claim. The last records of the holder come before it in the same append.
+func (h *Holder) Release(ctx context.Context, claim journaler.Claim, last []journaler.Record) {
 	select {
 	case <-h.saveStopped:
 	case <-ctx.Done():
@@ -494,7 +495,7 @@
 		h.options.Logger.Error("claim: Encoding the release failed; the claim stays in force.", zap.String("error", err.Error()))
 		return
 	}
-	call := storer.Append{Topic: storer.Claims, Records: []journaler.Record{record}, Epoch: h.options.Epoch, Sequence: h.appendSequence + 1}
+	call := storer.Append{Topic: storer.Claims, Records: append(last, record), Epoch: h.options.Epoch, Sequence: h.appendSequence + 1}
 	if _, err := h.options.Appender.Append(ctx, call); err != nil {
 		h.options.Logger.Warn("claim: Appending the release failed; other hosts may have to wait for the heartbeat timeout.",
 			zap.Int64("epoch", h.options.Epoch), zap.String("error", err.Error()))
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -318,6 +318,21 @@
 	return records, batch
 }
 
+// HasOutdatedProgress reports whether the newest record of starts that may still be carried out lists some, so that it is to be
+// replaced with the next batch, even if nothing else has changed.
+func (d *Dispatcher) HasOutdatedProgress() bool { return d.registrar.Persister.HasLateStarts() }
+
+// TakeLastRecords returns the records that a holder which ends persists for its successor: the starts that may still be carried
+// out, those that are in flight among them.
+func (d *Dispatcher) TakeLastRecords(now time.Time) []journaler.Record {
+	r := d.registrar
+	records, err := r.Persister.TakeLateStarts(r.Options.Epoch, now, r.Ordered)
+	if err != nil {
+		r.Report("The starts that may still be carried out can't be encoded and are not persisted.", "error", err.Error())
+	}
+	return records
+}
+
 // FailRejected fails the jobs whose progress is among the keys of records that the store does not take: what is done of
 // them can't be persisted, so that a later holder would run it again. It returns false if there are none that have
 // not ended.
--- a/internal/fleet/dispatcher/late_test.go
+++ b/internal/fleet/dispatcher/late_test.go
@@ -319,6 +319,39 @@
 	require.Empty(t, c.state.LateStarts, "the record lists a start that can't be carried out any more")
 }
 
+// TestSuccessorConfinesTaskWithStartInFlight guards against a task that runs twice, as its start is in flight when the holder
+// ends, in order or killed after its next append, and is carried out in the worker's next incarnation.
+func TestSuccessorConfinesTaskWithStartInFlight(t *testing.T) {
+	for name, end := range map[string]func(c *cell){
+		"in order": func(c *cell) { c.append(c.d.TakeLastRecords(c.clock.Now())...) },
+		"killed":   (*cell).save,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(t, 2)
+			c.runTimes = func(describer.TaskRef) time.Duration { return 15 * time.Second }
+			c.run(4 * tickInterval)
+			c.submit("a", describer.Queue{}, tasks(1))
+			c.save()
+			c.d.Tick(c.clock.Now())
+			orders := c.d.TakeOrders()
+			require.Len(t, orders, 1)
+			lost, _ := orders[0].(orderer.Start)
+			end(c)
+			c.options.FormerSeenAt = c.clock.Now()
+			c.claim()
+			c.fleet.Update(lost.Worker.ID, func(w *fencer.Worker) { w.Info.Draining = true })
+			c.run(time.Second)
+			c.fleet.Restart(lost.Worker.ID, 2)
+			c.fleet.Start(t.Context(), lost)
+			c.run(30 * time.Second)
+			require.Greater(t, c.lastStart().Run, lost.Run, "the task has started again")
+			require.Equal(t, describer.JobCompleted, c.stateOf("a"))
+			require.Empty(t, c.state.LateStarts, "the record lists a start that can't be carried out any more")
+			c.requireInvariants()
+		})
+	}
+}
+
 // TestEndOfTaskWithLostStartIsAcknowledgedLater guards against a task that starts again after the holder has taken note that
 // it is done: its lost start is carried out in the worker's next incarnation, before a takeover or after it.
 func TestEndOfTaskWithLostStartIsAcknowledgedLater(t *testing.T) {
--- a/internal/fleet/monitor/late.go
+++ b/internal/fleet/monitor/late.go
@@ -37,9 +37,26 @@
 	w.lostStarts = slices.DeleteFunc(w.lostStarts, func(s LostStart) bool { return s.Ref == ref && s.Number == number })
 }
 
-// HasHarmfulStart reports whether a harmful start without a reply may still be carried out.
-func (w *Worker) HasHarmfulStart(now time.Time) bool {
-	return slices.ContainsFunc(w.LostStarts(now), func(s LostStart) bool { return s.IsHarmful })
+// LateStarts returns the harmful starts that may still be carried out: those without a reply, and those in flight, whose holder may
+// end before it knows which of both they are.
+func (w *Worker) LateStarts(now time.Time) []LostStart {
+	var late []LostStart
+	for _, lost := range w.LostStarts(now) {
+		if lost.IsHarmful {
+			late = append(late, lost)
+		}
+	}
+	if w.startsInFlight == 0 {
+		return late
+	}
+	for _, r := range w.Runs {
+		isKnown := slices.ContainsFunc(late, func(s LostStart) bool { return s.Ref == r.Ref && s.Number == r.Number })
+		isHarmful := r.Task != nil && r.Task.Step.Spec.HasHarmfulStarts(r.Job.Queue)
+		if r.ConfirmedAt.IsZero() && isHarmful && !isKnown && now.Sub(r.SentAt) < MaxLateness {
+			late = append(late, LostStart{Ref: r.Ref, Number: r.Number, SentAt: r.SentAt, IsHarmful: true})
+		}
+	}
+	return late
 }
 
 // LostStarts returns the starts without a reply that may still be carried out.
--- a/internal/fleet/persister/persister.go
+++ b/internal/fleet/persister/persister.go
@@ -128,14 +128,8 @@
 	waves, waveErrs := s.waveRecords(epoch)
 	records = append(records, waves...)
 	errs := errors.Join(jobErrs, waveErrs)
-	if s.areLateStartsStale {
-		late, err := s.takeLateStarts(epoch, now, workers)
-		if err != nil {
-			errs = errors.Join(errs, err)
-		} else {
-			records = append(records, late)
-		}
-	}
+	late, err := s.TakeLateStarts(epoch, now, workers)
+	records, errs = append(records, late...), errors.Join(errs, err)
 	if s.isRosterStale {
 		roster, err := s.takeRoster(epoch, workers)
 		if err != nil {
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -266,6 +266,9 @@
 	if line, found := p.round.lines[placeOf(w)]; found {
 		line.Join(t.Step.Spec, 1)
 	}
+	if t.Step.Spec.HasHarmfulStarts(j.Queue) {
+		p.Persister.MarkLateStartsChanged()
+	}
 	if !j.Begun {
 		p.Options.Observe("first_start_seconds", p.Now.Sub(j.Spec.Received))
 		j.Begun = true
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -152,9 +152,6 @@
 	}
 	wt.removeExpired()
 	wt.reconciler.EndConfinements()
-	if wt.Persister.HasLateStarts() && !slices.ContainsFunc(wt.Ordered, func(w *monitor.Worker) bool { return w.HasHarmfulStart(wt.Now) }) {
-		wt.Persister.MarkLateStartsChanged()
-	}
 }
 
 // tickWorker resolves the runs of a worker whose lease has expired, and repeats its unacknowledged stops.
