coordinator: Wait no longer for the leases of a holder that has ended

Cause: a successor waits until the authority of the former holder has ended, as that may go on renewing leases without an append. That it was dead played no part.

Change: claims name the address at which their host serves its peers. A new holder asks the process there until it replies that it holds no claim of this epoch or a later one. The former holder steps down before this reply, and another process there was started after its end. From then on its leases end within the longest that it granted, or the longest that workers accept if a begun job needs no tickets. The bound for holders before it at other addresses, for those that were not read, and for workers that have restarted stays as it was.

Tried: the announcements of hosts as evidence.

--- a/internal/entry/coordinator/elect.go
+++ b/internal/entry/coordinator/elect.go
@@ -53,7 +53,7 @@
 	if epoch == firstEpoch {
 		lease = options.OwnLease()
 	}
-	return journaler.Claim{Epoch: epoch, Lease: lease, Authority: options.LongestAuthority()}
+	return journaler.Claim{Epoch: epoch, Lease: lease, Authority: options.LongestAuthority(), Address: k.options.PeerAddress.String()}
 }
 
 // applyClaim starts a takeover if the claim in the log is a new one of this host, and stops
--- a/internal/entry/coordinator/hold.go
+++ b/internal/entry/coordinator/hold.go
@@ -11,6 +11,7 @@
 	"lentilrock.example/internal/entry/measurer"
 	"lentilrock.example/internal/fleet/dispatcher"
 	"lentilrock.example/internal/fleet/journaler"
+	"lentilrock.example/internal/fleet/leaser"
 )
 
 // startHolding creates the dispatcher and the holder for a claim and runs them. The caller has
@@ -40,6 +41,30 @@
 		zap.Int("workers", k.catalog.Size()), zap.Duration("longest_lease", options.LongestLease()),
 		age("claim_age", options.ClaimSentAt), age("former_record_age", options.FormerSeenAt))
 	k.holder.Run(context.Background())
+	k.awaitFormerEnd(k.holder, claim, options.LongestAuthority())
+}
+
+// awaitFormerEnd tells the dispatcher once it is certain that the former holder no longer acts, without waiting for it. The caller
+// has the lock.
+func (k *Coordinator) awaitFormerEnd(h *holder.Holder, claim journaler.Claim, authority time.Duration) {
+	address, earlierEnd, isKnown := k.formers.Former(claim.Epoch, leaser.ExpiryOf(authority))
+	if !isKnown {
+		return
+	}
+	if address == k.options.PeerAddress.String() {
+		// No other process than this one can be at its address.
+		k.dispatcher.FormerHolderEnded(k.now(), earlierEnd)
+		return
+	}
+	former := journaler.Host{Name: "former holder", Address: address}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), authority)
+		defer cancel()
+		if k.prober.AwaitEnd(ctx, former, claim.Epoch) {
+			k.updateDispatcher(h, func(now time.Time, d *dispatcher.Dispatcher) { d.FormerHolderEnded(now, earlierEnd) })
+			h.ScheduleTick()
+		}
+	}()
 }
 
 // dispatcherOptions returns the options of a dispatcher that takes over from former holders. The
--- a/internal/entry/prober/prober.go
+++ b/internal/entry/prober/prober.go
@@ -13,6 +13,7 @@
 //	go p.Run(ctx)
 //	view := p.View()
 //	p.InformFormer(state, formerClaim)
+//	hasEnded := p.AwaitEnd(ctx, formerHolder, epoch)
 package prober
 
 import (
@@ -167,6 +168,19 @@
 	}
 }
 
+// AwaitEnd returns true once a process at the address of a former holder has replied that it does not hold a claim of the given epoch
+// or a later one, and false if ctx ends before. That process is the former holder, which has stepped down before it
+// replied, or one that was started since.
+func (p *Prober) AwaitEnd(ctx context.Context, former journaler.Host, epoch int64) bool {
+	for p.options.Messenger != nil && ctx.Err() == nil {
+		if err := p.probe(ctx, former, epoch); errors.Is(err, errNotHolder) {
+			return true
+		}
+		pauser.Pause(ctx, p.options.Clock, informInterval)
+	}
+	return false
+}
+
 // probe checks that a host holds the claim of an epoch or a later one.
 func (p *Prober) probe(ctx context.Context, holder journaler.Host, epoch int64) error {
 	address, err := netip.ParseAddrPort(holder.Address)
--- a/internal/entry/prober/prober_test.go
+++ b/internal/entry/prober/prober_test.go
@@ -150,3 +150,24 @@
 		require.Eventually(t, func() bool { return !p.View().AnsweredAt.IsZero() }, longWait, time.Millisecond)
 	})
 }
+
+// TestAwaitEnd guards against a former holder that counts as ended although nothing shows it: it holds a later claim, or has
+// not replied. One that replies has heard of the later claim before.
+func TestAwaitEnd(t *testing.T) {
+	own, peer, host := connect(t)
+	var held, heard atomic.Int64
+	held.Store(5)
+	prober.New(prober.Options{
+		Messenger: own, HeldEpoch: held.Load, OnProbed: func(_ string, epoch int64) { heard.Store(epoch) },
+	})
+	p := prober.New(prober.Options{Messenger: peer, Clock: clockwork.NewRealClock(), HeldEpoch: func() int64 { return 0 }})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	require.False(t, p.AwaitEnd(ctx, host, 4), "the host holds a later claim")
+	held.Store(0)
+	require.True(t, p.AwaitEnd(t.Context(), host, 6))
+	require.EqualValues(t, 6, heard.Load())
+	ctx, cancel = context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	require.False(t, p.AwaitEnd(ctx, journaler.Host{Name: "host", Address: "127.0.0.1:1"}, 6), "the host does not reply")
+}
--- a/internal/entry/tracker/former.go
+++ b/internal/entry/tracker/former.go
@@ -1,6 +1,11 @@
 package tracker
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"lentilrock.example/internal/fleet/journaler"
+)
 
 // FormerRecords tells when the last record of former holders before a claim was read. All records of the
 // claims are of holders, those of this host under an earlier claim included. The zero value has none.
@@ -32,6 +37,65 @@
 	return f.seenAt
 }
 
+// maxFormers bounds the former claims that are kept.
+const maxFormers = 32
+
+// Formers tells until when the holders of former claims may act. The zero value knows of none. It is not safe for concurrent use.
+type Formers struct {
+	claims []formerClaim
+	// unknownAt is when a record was read that followed those of all holders that are not known; zero if there were none.
+	unknownAt time.Time
+}
+
+// formerClaim is a claim, with the time at which the next one was read; zero for the newest.
+type formerClaim struct {
+	epoch      int64
+	address    string
+	replacedAt time.Time
+}
+
+// Record records the newest claim; epoch 0 stands for none.
+func (f *Formers) Record(claim journaler.Claim, now time.Time) {
+	known := int64(0)
+	if last := len(f.claims) - 1; last >= 0 {
+		known = f.claims[last].epoch
+	}
+	if claim.Epoch <= known {
+		return
+	}
+	if claim.Epoch > known+1 {
+		// Claims between them were not read.
+		f.unknownAt = now
+	}
+	if known > 0 {
+		f.claims[len(f.claims)-1].replacedAt = now
+	}
+	f.claims = append(f.claims, formerClaim{epoch: claim.Epoch, address: claim.Address})
+	if len(f.claims) > maxFormers {
+		f.unknownAt = f.claims[0].replacedAt
+		f.claims = slices.Delete(f.claims, 0, 1)
+	}
+}
+
+// Former returns the address of the holder whose claim that of an epoch has replaced, and when the holders before it at other
+// addresses act no more, each of which does so for a time at most after the record that follows its last one; false if it is not known.
+func (f *Formers) Former(epoch int64, authority time.Duration) (address string, earlierEnd time.Time, isKnown bool) {
+	last := len(f.claims) - 1
+	if last < 1 || f.claims[last].epoch != epoch || f.claims[last-1].address == "" {
+		return "", time.Time{}, false
+	}
+	address = f.claims[last-1].address
+	if !f.unknownAt.IsZero() {
+		earlierEnd = f.unknownAt.Add(authority)
+	}
+	for _, c := range f.claims[:last] {
+		if end := c.replacedAt.Add(authority); c.address != address && end.After(earlierEnd) {
+			earlierEnd = end
+		}
+	}
+	return address, earlierEnd, true
+}
+
 // Heartbeats tells when a new record of the holder was last read. The zero value has none. It is not safe for concurrent
 // use.
 type Heartbeats struct {
--- a/internal/fleet/dispatcher/chaos_test.go
+++ b/internal/fleet/dispatcher/chaos_test.go
@@ -16,8 +16,10 @@
 	"github.com/stretchr/testify/require"
 
 	"lentilrock.example/internal/container/sorter"
+	"lentilrock.example/internal/fleet/confirmer"
 	"lentilrock.example/internal/fleet/describer"
 	"lentilrock.example/internal/fleet/dispatcher"
+	"lentilrock.example/internal/fleet/leaser"
 	"lentilrock.example/internal/fleet/orderer"
 	"lentilrock.example/internal/standin/fencer"
 )
@@ -77,11 +79,13 @@
 
 // actor is a holder with its poll loops and its order of appends.
 type actor struct {
-	d        *dispatcher.Dispatcher
-	epoch    int64
-	polled   map[string]bool
-	isGone   bool
-	isSaving bool
+	d *dispatcher.Dispatcher
+	// formerSeenAt is when the last record of the holders before this one was appended.
+	formerSeenAt time.Time
+	epoch        int64
+	polled       map[string]bool
+	isGone       bool
+	isSaving     bool
 	// unreachable are the workers that this holder can't reach.
 	unreachable map[string]bool
 	// refusals count the reasons why this holder's connections to each worker are refused.
@@ -426,8 +430,11 @@
 	if former == nil {
 		return
 	}
+	x.holder.formerSeenAt = x.options.FormerSeenAt
 	if !x.splits && x.chance(40) {
 		former.isGone = true
+		successor, earlierEnd := x.holder, former.formerSeenAt.Add(leaser.ExpiryOf(confirmer.Authority))
+		x.after(time.Second, func() { successor.d.FormerHolderEnded(x.clock.Now(), earlierEnd) })
 		return
 	}
 	former.isCutFromStore = true
--- a/internal/fleet/dispatcher/dispatcher.go
+++ b/internal/fleet/dispatcher/dispatcher.go
@@ -195,6 +195,11 @@
 // claimed the cell then.
 func (d *Dispatcher) Confirm(sentAt time.Time) { d.registrar.Confirm(sentAt) }
 
+// FormerHolderEnded records that the former holder grants no lease any more, and the ones before it none after earlierEnd.
+func (d *Dispatcher) FormerHolderEnded(now, earlierEnd time.Time) {
+	d.watcher.FormerHolderEnded(now, earlierEnd)
+}
+
 // NeedsConfirmation reports whether decisions wait for the next append under the claim.
 func (d *Dispatcher) NeedsConfirmation() bool { return d.registrar.NeedsConfirmation() }
 
--- a/internal/fleet/evacuator/evacuator.go
+++ b/internal/fleet/evacuator/evacuator.go
@@ -205,7 +205,7 @@
 				e.Hold(r.Task)
 				e.reconciler.Resolve(r)
 			}
-			worker.Lease.EndNow(e.Now)
+			worker.Lease.EndBy(e.Now)
 			e.reconciler.WorkerGone(id)
 		default:
 			continue
--- a/internal/fleet/journaler/journaler.go
+++ b/internal/fleet/journaler/journaler.go
@@ -76,6 +76,8 @@
 	// Authority is the longest time after the sending of its last append for which the leases of this holder or of one
 	// before it last; 0 if it is unknown.
 	Authority time.Duration `cbor:"6,keyasint,omitempty"`
+	// Address is where the host serves its peers; empty if it is unknown.
+	Address string `cbor:"7,keyasint,omitempty"`
 }
 
 // Heartbeat is a heartbeat of the holder.
--- a/internal/fleet/leaser/leaser.go
+++ b/internal/fleet/leaser/leaser.go
@@ -77,10 +77,10 @@
 	}
 }
 
-// EndNow records that nothing that was covered by a lease goes on at now. A lease that has ended stays as it is.
-func (l *Lease) EndNow(now time.Time) {
-	if l.ExpiresAt.After(now) {
-		l.ExpiresAt = now
+// EndBy records that nothing that was covered by a lease goes on after a time. A lease that ends earlier stays as it is.
+func (l *Lease) EndBy(end time.Time) {
+	if l.ExpiresAt.After(end) {
+		l.ExpiresAt = end
 	}
 }
 
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -33,6 +33,8 @@
 	*registrar.Registrar
 	reconciler *reconciler.Reconciler
 	throttler  *throttler.Throttler
+	// formerLeasesEnd is when the leases of former holders have ended; zero while one of these may still grant some.
+	formerLeasesEnd time.Time
 }
 
 // New returns a watcher for the workers of a registrar.
@@ -110,6 +112,9 @@
 // former holders has ended, unless the worker has seen the fencing token of this holder.
 func (wt *Watcher) add(info describer.Worker) *monitor.Worker {
 	w := monitor.New(info, wt.FormerSeenAt.Add(leaser.ExpiryOf(wt.Options.FormerAuthority)))
+	if !wt.formerLeasesEnd.IsZero() {
+		w.Lease.EndBy(wt.formerLeasesEnd)
+	}
 	wt.Workers[info.ID] = w
 	wt.Ordered = append(wt.Ordered, w)
 	return w
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,7 +72,7 @@
 mutant "fence: another worker at the address does not show that a worker has left" internal/fleet/watcher/poll.go \
   'if !isBeforeIncarnation {
 			wt' 'if !isBeforeIncarnation {
-			w.Lease.EndNow(wt.Now)
+			w.Lease.EndBy(wt.Now)
 			wt' $dispatcher 'TestWorkerWhoseAddress'
 mutant "fence: a machine that lists omit has not left" internal/fleet/evacuator/evacuator.go \
   'machine := e.machines[d.machine]
@@ -113,7 +113,7 @@
   'default:
 		wt.pollFailed(w, verdict)' 'default:
 		if verdict == orderer.NoListener && w.Info.Draining && !w.IsListed {
-			w.Lease.EndNow(wt.Now)
+			w.Lease.EndBy(wt.Now)
 		}
 		wt.pollFailed(w, verdict)' $dispatcher 'TestWorkerThatRefusesConnections'
 mutant "fence: only an accepted stop counts as acknowledged" internal/fleet/reconciler/order.go \
@@ -293,6 +293,16 @@
   ' || t.job.Steps[step%len(t.job.Steps)].LongRunning' '' internal/fleet/tasker 'TestProgressOfFormerVersionWithLongRunningTasks'
 mutant "fence: a long-running task that ends at once starts again after a pause" internal/fleet/reconciler/reconciler.go \
   't.NotBefore = s.Now.Add(pause)' '_ = pause' $dispatcher 'TestLongRunningTaskThatEndsAtOnce'
+mutant "fence: leases of a former holder that has ended count on" internal/fleet/watcher/former.go \
+  'end := now.Add(leaser.ExpiryOf(lease))' 'end := now' $dispatcher 'TestTasksStartOnceFormerHolderHasEnded'
+mutant "fence: the longest lease counts where a restart may be unknown" internal/fleet/watcher/former.go \
+  'if wt.hasUnguardedStarts() {' 'if false {' $dispatcher 'TestTasksStartOnceFormerHolderHasEnded'
+mutant "fence: holders before the former one may act for longer" internal/fleet/watcher/former.go \
+  'if earlierEnd.After(end) {' 'if false {' $dispatcher 'TestTasksStartOnceFormerHolderHasEnded'
+mutant "fence: a former holder that holds a later claim has not ended" internal/entry/prober/prober.go \
+  'errors.Is(err, errNotHolder) {
+			return true' 'err == nil || errors.Is(err, errNotHolder) {
+			return true' internal/entry/prober 'TestAwaitEnd'
 mutant "fence: a successor learns of lost starts" internal/fleet/watcher/watcher.go \
   'wt.reconciler.RestoreLateStart(late)' '_ = late' $dispatcher 'TestSuccessorConfinesTaskWithLostStart'
 mutant "fence: an end that a late start may repeat is not acknowledged" internal/fleet/watcher/poll.go \
