--- a/internal/entry/coordinator/hold.go
+++ b/internal/entry/coordinator/hold.go
@@ -47,16 +47,15 @@
 // awaitFormerEnd tells the dispatcher once it is certain that the former holder no longer acts, without waiting for it. The caller
 // has the lock.
 func (k *Coordinator) awaitFormerEnd(h *holder.Holder, claim journaler.Claim, authority time.Duration) {
-	address, earlierEnd, isKnown := k.formers.Former(claim.Epoch, leaser.ExpiryOf(authority))
+	former, earlierEnd, isKnown := k.formers.Former(claim.Epoch, leaser.ExpiryOf(authority))
 	if !isKnown {
 		return
 	}
-	if address == k.options.PeerAddress.String() {
+	if former.Address == k.options.PeerAddress.String() {
 		// No other process than this one can be at its address.
 		k.dispatcher.FormerHolderEnded(k.now(), earlierEnd)
 		return
 	}
-	former := journaler.Host{Name: "former holder", Address: address}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), authority)
 		defer cancel()
--- a/internal/entry/tracker/former.go
+++ b/internal/entry/tracker/former.go
@@ -50,7 +50,7 @@
 // formerClaim is a claim, with the time at which the next one was read; zero for the newest.
 type formerClaim struct {
 	epoch      int64
-	address    string
+	holder     journaler.Host
 	replacedAt time.Time
 }
 
@@ -70,30 +70,31 @@
 	if known > 0 {
 		f.claims[len(f.claims)-1].replacedAt = now
 	}
-	f.claims = append(f.claims, formerClaim{epoch: claim.Epoch, address: claim.Address})
+	f.claims = append(f.claims, formerClaim{epoch: claim.Epoch, holder: journaler.Host{Name: claim.Host, Address: claim.Address}})
 	if len(f.claims) > maxFormers {
 		f.unknownAt = f.claims[0].replacedAt
 		f.claims = slices.Delete(f.claims, 0, 1)
 	}
 }
 
-// Former returns the address of the holder whose claim that of an epoch has replaced, and when the holders before it at other
-// addresses act no more, each of which does so for a time at most after the record that follows its last one; false if it is not known.
-func (f *Formers) Former(epoch int64, authority time.Duration) (address string, earlierEnd time.Time, isKnown bool) {
+// Former returns the holder whose claim that of an epoch has replaced, with its name and address, and the time after which no
+// holder before it at another address acts. These act for no longer than their authority after the record of the next claim. It
+// returns false if the holder or its address is not known.
+func (f *Formers) Former(epoch int64, authority time.Duration) (holder journaler.Host, earlierEnd time.Time, isKnown bool) {
 	last := len(f.claims) - 1
-	if last < 1 || f.claims[last].epoch != epoch || f.claims[last-1].address == "" {
-		return "", time.Time{}, false
+	if last < 1 || f.claims[last].epoch != epoch || f.claims[last-1].holder.Address == "" {
+		return holder, earlierEnd, false
 	}
-	address = f.claims[last-1].address
+	holder = f.claims[last-1].holder
 	if !f.unknownAt.IsZero() {
 		earlierEnd = f.unknownAt.Add(authority)
 	}
 	for _, c := range f.claims[:last] {
-		if end := c.replacedAt.Add(authority); c.address != address && end.After(earlierEnd) {
+		if end := c.replacedAt.Add(authority); c.holder.Address != holder.Address && end.After(earlierEnd) {
 			earlierEnd = end
 		}
 	}
-	return address, earlierEnd, true
+	return holder, earlierEnd, true
 }
 
 // Heartbeats tells when a new record of the holder was last read. The zero value has none. It is not safe for concurrent
