--- a/internal/entry/coordinator/coordinator.go
+++ b/internal/entry/coordinator/coordinator.go
@@ -129,8 +129,8 @@
 	reads tracker.Tracker
 	// former tells when records of former holders were read.
 	former tracker.FormerRecords
-	// formers tells until when former holders may act.
-	formers tracker.Formers
+	// formerHolders tells until when they may act.
+	formerHolders tracker.FormerHolders
 	// heartbeats tells when records of the holder were read.
 	heartbeats tracker.Heartbeats
 	// holder and dispatcher are nil while this host does not hold the claim.
--- a/internal/entry/coordinator/follow.go
+++ b/internal/entry/coordinator/follow.go
@@ -114,7 +114,7 @@
 func (k *Coordinator) applyRecord(now time.Time, e storer.Entry) {
 	former := k.state.Claim
 	changed, err := k.state.Apply(e.Record, e.Offset)
-	k.formers.Record(k.state.Claim, now)
+	k.formerHolders.Record(k.state.Claim, now)
 	if k.state.Claim.Epoch > former.Epoch {
 		k.prober.InformFormer(k.state, former)
 	}
--- a/internal/entry/coordinator/hold.go
+++ b/internal/entry/coordinator/hold.go
@@ -47,7 +47,7 @@
 // awaitFormerEnd tells the dispatcher once it is certain that the former holder no longer acts, without waiting for it. The caller
 // has the lock.
 func (k *Coordinator) awaitFormerEnd(h *holder.Holder, claim journaler.Claim, authority time.Duration) {
-	former, earlierEnd, isKnown := k.formers.Former(claim.Epoch, leaser.ExpiryOf(authority))
+	former, earlierEnd, isKnown := k.formerHolders.Former(claim.Epoch, leaser.ExpiryOf(authority))
 	if !isKnown {
 		return
 	}
--- a/internal/entry/tracker/former.go
+++ b/internal/entry/tracker/former.go
@@ -37,11 +37,11 @@
 	return f.seenAt
 }
 
-// maxFormers bounds the former claims that are kept.
-const maxFormers = 32
+// maxFormerHolders bounds the former claims that are kept.
+const maxFormerHolders = 32
 
-// Formers tells until when the holders of former claims may act. The zero value knows of none. It is not safe for concurrent use.
-type Formers struct {
+// FormerHolders tells until when the holders of former claims may act. The zero value knows of none. It is not safe for concurrent use.
+type FormerHolders struct {
 	claims []formerClaim
 	// unknownAt is when a record was read that followed those of all holders that are not known; zero if there were none.
 	unknownAt time.Time
@@ -55,7 +55,7 @@
 }
 
 // Record records the newest claim; epoch 0 stands for none.
-func (f *Formers) Record(claim journaler.Claim, now time.Time) {
+func (f *FormerHolders) Record(claim journaler.Claim, now time.Time) {
 	known := int64(0)
 	if last := len(f.claims) - 1; last >= 0 {
 		known = f.claims[last].epoch
@@ -71,7 +71,7 @@
 		f.claims[len(f.claims)-1].replacedAt = now
 	}
 	f.claims = append(f.claims, formerClaim{epoch: claim.Epoch, holder: journaler.Host{Name: claim.Host, Address: claim.Address}})
-	if len(f.claims) > maxFormers {
+	if len(f.claims) > maxFormerHolders {
 		f.unknownAt = f.claims[0].replacedAt
 		f.claims = slices.Delete(f.claims, 0, 1)
 	}
@@ -80,7 +80,7 @@
 // Former returns the holder whose claim that of an epoch has replaced, with its name and address, and the time after which no
 // holder before it at another address acts. These act for no longer than their authority after the record of the next claim. It
 // returns false if the holder or its address is not known.
-func (f *Formers) Former(epoch int64, authority time.Duration) (holder journaler.Host, earlierEnd time.Time, isKnown bool) {
+func (f *FormerHolders) Former(epoch int64, authority time.Duration) (holder journaler.Host, earlierEnd time.Time, isKnown bool) {
 	last := len(f.claims) - 1
 	if last < 1 || f.claims[last].epoch != epoch || f.claims[last-1].holder.Address == "" {
 		return holder, earlierEnd, false
--- a/internal/entry/tracker/former_test.go
+++ b/internal/entry/tracker/former_test.go
@@ -39,7 +39,7 @@
 	claim := func(epoch int64, address string) journaler.Claim {
 		return journaler.Claim{Epoch: epoch, Host: "h-" + address, Address: address}
 	}
-	var f tracker.Formers
+	var f tracker.FormerHolders
 	f.Record(claim(1, "a"), at(1))
 	_, _, isKnown := f.Former(1, authority)
 	require.False(t, isKnown, "there was no former holder")
@@ -60,7 +60,7 @@
 	f.Record(claim(6, "d"), at(67))
 	_, _, isKnown = f.Former(6, authority)
 	require.False(t, isKnown, "the former holder did not tell its address")
-	var started tracker.Formers
+	var started tracker.FormerHolders
 	started.Record(claim(7, "a"), at(100))
 	started.Record(claim(8, "b"), at(105))
 	_, end, _ = started.Former(8, authority)
